--- /dev/null
+++ b/src/catalog/reporter.hpp
@@ -0,0 +1,26 @@
+// Reports this node to the catalog, which forgets who is silent for 3 s.
+#pragma once
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include "config/config.hpp"
+#include "core/request.hpp"
+
+namespace marblewharf::catalog {
+
+class reporter {
+ public:
+  explicit reporter(const config& settings);
+
+  // Reports when it is time; returns when it wants to be called again.
+  time_point step(time_point now, bool passing);
+
+ private:
+  const config& config_;
+  Poco::Net::SocketAddress to_;
+  Poco::Net::DatagramSocket socket_;
+  time_point next_{};
+  bool passing_ = true;
+};
+
+}  // namespace marblewharf::catalog
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,152 @@
+#include "config/config.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "json/json.hpp"
+#include "settings.hpp"
+
+namespace marblewharf {
+namespace {
+
+const json::value* member(const json::value& in, const std::string& key) {
+  const json::value* found = in.find(key);
+  return found != nullptr && found->what != json::kind::null ? found : nullptr;
+}
+
+std::string text_of(const json::value& in, const std::string& key) {
+  const json::value* v = member(in, key);
+  if (v == nullptr) throw bad_config(key + " is missing");
+  if (v->what != json::kind::string || v->text.empty()) throw bad_config(key + " is no text");
+  return v->text;
+}
+
+double number_of(const json::value& in, const std::string& key, const std::string& path, double absent,
+                 double least, double most) {
+  const json::value* v = member(in, key);
+  if (v == nullptr) return absent;
+  double parsed = 0;
+  const char* end = v->text.data() + v->text.size();
+  if (v->what != json::kind::number || std::from_chars(v->text.data(), end, parsed).ptr != end)
+    throw bad_config(path + " is no number");
+  if (!(parsed >= least && parsed <= most)) {
+    std::ostringstream why;
+    why << path << " is not from " << least << " to " << most;
+    throw bad_config(why.str());
+  }
+  return parsed;
+}
+
+endpoint endpoint_of(const json::value& in, const std::string& key) {
+  const std::string text = text_of(in, key);
+  const std::size_t colon = text.rfind(':');
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  if (colon == std::string::npos || colon == 0 ||
+      std::from_chars(text.data() + colon + 1, end, port).ptr != end || port > 65535) {
+    throw bad_config(key + " is no host:port");
+  }
+  return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+// The nested settings as the paths of the simulator's first message.
+void flatten(const json::value& v, const std::string& path, wrenrill::setting_paths& out) {
+  switch (v.what) {
+    case json::kind::object:
+      for (const auto& [key, item] : v.members) flatten(item, path.empty() ? key : path + "." + key, out);
+      break;
+    case json::kind::array: {
+      if (!v.items.empty() && v.items.front().what == json::kind::object) {
+        out[path + ".count"] = std::to_string(v.items.size());
+        for (std::size_t i = 0; i < v.items.size(); ++i)
+          flatten(v.items[i], path + "." + std::to_string(i), out);
+        break;
+      }
+      std::string joined;
+      for (const json::value& item : v.items) joined += (joined.empty() ? "" : ",") + item.text;
+      out[path] = joined;
+      break;
+    }
+    case json::kind::null: break;
+    default: out[path] = v.text;
+  }
+}
+
+wrenrill::settings settings_of(const json::value& all) {
+  const json::value* given = member(all, "settings");
+  if (given == nullptr || given->what != json::kind::object) throw bad_config("settings is no object");
+  wrenrill::setting_paths paths;
+  flatten(*given, "", paths);
+  wrenrill::settings s;
+  try {
+    s = wrenrill::settings_from(paths);
+  } catch (const std::invalid_argument& e) {
+    throw bad_config(std::string("settings.") + e.what());
+  }
+  // What the module cannot do without, by the operators' names and not the module's.
+  if (s.cores == 0) throw bad_config("settings.Extra.NCores is missing or 0");
+  if (s.classes.empty()) throw bad_config("settings.Classes has no class");
+  for (std::size_t i = 0; i < s.classes.size(); ++i) {
+    const std::string at = "settings.Classes." + std::to_string(i) + ".";
+    if (s.classes[i].name.empty()) throw bad_config(at + "Name is missing");
+    if (s.classes[i].deadline.count() <= 0) throw bad_config(at + "Deadline is missing or 0");
+  }
+  for (std::size_t i = 0; i < s.tenants.size(); ++i) {
+    if (s.tenants[i].name.empty())
+      throw bad_config("settings.Tenants." + std::to_string(i) + ".Name is missing");
+  }
+  return s;
+}
+
+std::uint64_t seed_of(const json::value& all) {
+  const json::value* v = member(all, "seed");
+  if (v == nullptr) return 0;
+  std::uint64_t seed = 0;
+  const char* end = v->text.data() + v->text.size();
+  if (v->what != json::kind::string || std::from_chars(v->text.data(), end, seed, 16).ptr != end)
+    throw bad_config("seed is no hexadecimal text");
+  return seed;
+}
+
+}  // namespace
+
+config read_config(const std::string& text) {
+  json::value all;
+  try {
+    all = json::parse(text);
+  } catch (const json::bad_json& e) {
+    throw bad_config(std::string("the configuration is no JSON, ") + e.what());
+  }
+  if (all.what != json::kind::object) throw bad_config("the configuration is no object");
+  config c;
+  c.name = text_of(all, "name");
+  if (c.name.find_first_of(" \t\r\n") != std::string::npos) throw bad_config("name has a space in it");
+  c.listen = endpoint_of(all, "listen");
+  c.runtime = endpoint_of(all, "runtime");
+  c.directory = endpoint_of(all, "directory");
+  c.seed = seed_of(all);
+  const double stop_ms = number_of(all, "stop_ms", "stop_ms", 3200, 1, 600000);
+  c.bounds.stop = std::chrono::milliseconds(std::lround(stop_ms));
+  if (const json::value* given = member(all, "limits")) {
+    constexpr double own_descriptors = 64;  // links, logs, the listener and room to say no
+    const double sockets = number_of(*given, "sockets", "limits.sockets", 1024, 128, 1e6);
+    c.bounds.connections = static_cast<std::size_t>(sockets - own_descriptors);
+  }
+  c.settings = settings_of(all);
+  return c;
+}
+
+config load_config() {
+  const char* path = std::getenv("PROXY_CONFIG");
+  if (path == nullptr) throw bad_config("PROXY_CONFIG is not set");
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) throw bad_config(std::string("PROXY_CONFIG cannot be read: ") + path);
+  return read_config(text.str());
+}
+
+}  // namespace marblewharf
--- /dev/null
+++ b/src/config/limits.hpp
@@ -0,0 +1,38 @@
+// Every size, count and time of the program that is not the module's: filled at start, handed down.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace marblewharf {
+
+struct limits {
+  using duration = std::chrono::nanoseconds;
+
+  // What a peer may send.
+  std::size_t body = 2048;           // of a request
+  std::size_t result = 4096;         // of a run
+  std::size_t frame = 8192;          // a request with its fields
+  std::size_t fields = 32;           // of a request
+  std::size_t runtime_line = 16384;  // a result in base64 and its envelope
+  unsigned open_each_connection = 32;
+  duration half_frame = std::chrono::seconds(10);  // a frame that was begun is whole within this
+
+  // What this process holds.
+  std::size_t connections = 900;  // of the descriptors, less what the program needs itself
+  std::size_t write_buffer = std::size_t{256} << 10;
+  std::size_t read_chunk = std::size_t{16} << 10;
+  unsigned log_lines = 5;  // of one word in a second
+
+  // Times.
+  duration stop = std::chrono::milliseconds(3200);          // from the notice to leave to the kill
+  duration leave_early = std::chrono::milliseconds(600);    // before the kill: asks callers to let go
+  duration exit_early = std::chrono::milliseconds(150);     // before the kill: ends whatever is open
+  duration longest_poll = std::chrono::milliseconds(20);    // a signal is seen within this
+  duration report_every = std::chrono::milliseconds(500);   // to the catalog, which forgets after 3 s
+  duration gauges_every = std::chrono::milliseconds(50);    // the module's window is 100 ms
+  duration gauges_stale = std::chrono::milliseconds(1000);  // after this they say nothing
+  duration reconnect_every = std::chrono::milliseconds(100);
+};
+
+}  // namespace marblewharf
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,113 @@
+#include "core/admission.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/telemetry.hpp"
+
+namespace marblewharf {
+namespace {
+
+std::vector<bool> writes_of(const wrenrill::settings& s) {
+  std::vector<bool> writes;
+  for (const wrenrill::class_settings& c : s.classes) writes.push_back(c.repeats != wrenrill::effect::safe);
+  return writes;
+}
+
+wrenrill::outcome outcome_of(run_end how) {
+  switch (how) {
+    case run_end::fine: return wrenrill::outcome::ok;
+    case run_end::fault: return wrenrill::outcome::error;
+    case run_end::broken_off: return wrenrill::outcome::cancelled;
+    case run_end::never_started: return wrenrill::outcome::moot;
+  }
+  return wrenrill::outcome::error;
+}
+
+}  // namespace
+
+admission::admission(wrenrill::settings settings, std::uint64_t seed, time_point opened)
+    : policy_(settings, seed, opened), writes_(writes_of(settings)), due_(opened) {
+  take(policy_.handle(opened, {}), opened);
+}
+
+void admission::report(const arrived& fact) {
+  const request& r = *fact.what;
+  begun_.emplace(fact.id, false);
+  wrenrill::arrival a;
+  a.id = fact.id;
+  a.key = r.subject;
+  a.held_kb = r.held_kb;
+  a.work = r.work;
+  a.waited = r.waited;
+  a.tenant = r.tenant;
+  a.request_class = r.request_class;
+  a.caller = r.caller;
+  a.rank = r.rank;
+  a.write = r.request_class < writes_.size() && writes_[r.request_class];
+  pending_.emplace_back(a);
+}
+
+void admission::report(const ended& fact) {
+  begun_.erase(fact.id);
+  pending_.emplace_back(wrenrill::completion{fact.id, outcome_of(fact.how), fact.elapsed});
+}
+
+void admission::report(const gone& fact) {
+  pending_.emplace_back(wrenrill::departure{fact.id});
+}
+
+void admission::report(const drain& fact) {
+  pending_.emplace_back(wrenrill::notice{fact.left});
+}
+
+void admission::tick(time_point now, std::span<const double> gauges) {
+  if (now >= due_) {
+    due_ = time_point::max();
+    pending_.emplace_back(wrenrill::timer_fired{{gauges.begin(), gauges.end()}});
+  }
+  if (pending_.empty()) return;
+  std::vector<wrenrill::event> events;
+  events.swap(pending_);
+  take(policy_.handle(now, events), now);
+}
+
+// The module's keys, shares and calls do not occur here: the price node's classes are safe or unsafe, and its
+// runtime makes no calls that pass through this process.
+void admission::take(const std::vector<wrenrill::action>& actions, time_point now) {
+  for (const wrenrill::action& a : actions) {
+    if (const auto* s = std::get_if<wrenrill::start>(&a)) {
+      const auto known = begun_.find(s->id);
+      if (known == begun_.end()) continue;
+      if (std::exchange(known->second, true)) {
+        decisions_.emplace_back(resume{s->id});
+      } else {
+        decisions_.emplace_back(run{s->id});
+      }
+    } else if (const auto* p = std::get_if<wrenrill::stop_run>(&a)) {
+      decisions_.emplace_back(pause{p->id});
+    } else if (const auto* r = std::get_if<wrenrill::refuse>(&a)) {
+      decisions_.emplace_back(refuse{r->id, r->stay_away, r->not_elsewhere});
+      begun_.erase(r->id);
+    } else if (const auto* f = std::get_if<wrenrill::fail>(&a)) {
+      decisions_.emplace_back(fail{f->id});
+    } else if (const auto* h = std::get_if<wrenrill::set_health>(&a)) {
+      decisions_.emplace_back(health{h->good});
+    } else if (const auto* c = std::get_if<wrenrill::close_idle>(&a)) {
+      decisions_.emplace_back(close_idle{c->after});
+    } else if (const auto* t = std::get_if<wrenrill::set_timer>(&a)) {
+      due_ = std::min(due_, now + t->after);
+    } else if (const auto* l = std::get_if<wrenrill::log_line>(&a)) {
+      telemetry::log("module", "%s", l->text.c_str());
+    }
+  }
+}
+
+std::optional<decision> admission::pick() {
+  if (decisions_.empty()) return std::nullopt;
+  decision next = decisions_.front();
+  decisions_.pop_front();
+  return next;
+}
+
+}  // namespace marblewharf
--- /dev/null
+++ b/src/core/request.hpp
@@ -0,0 +1,48 @@
+// Requests, attempts at them and their outcomes, free of any wire.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "wrenrill/policy.hpp"
+
+namespace marblewharf {
+
+using wrenrill::duration;
+using wrenrill::request_id;
+using wrenrill::time_point;
+
+struct request {
+  std::string label;    // the backend's name for it
+  std::string payload;  // for the backend, as it came
+  unsigned request_class = 0;
+  unsigned tenant = 0;
+  unsigned caller = 0;
+  std::uint64_t subject = 0;  // what a read is about; 0 = not stated
+  double held_kb = 0;
+  duration work{};    // expected; 0 = not stated
+  duration waited{};  // since it reached the machine
+  double rank = 0;
+};
+
+// How an attempt to run it ended.
+enum class run_end {
+  fine,
+  fault,
+  broken_off,     // stopped
+  never_started,  // proven: nothing ran
+};
+
+enum class verdict { served, refused, failed };
+
+// The one final answer.
+struct answer {
+  verdict how = verdict::failed;
+  std::string_view result{};   // where served
+  duration retry_after{};    // 0 = no advice
+  bool not_elsewhere = false;  // where refused: no other server would do better
+  bool overdue = false;        // where failed: given up for lack of time
+};
+
+}  // namespace marblewharf
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,51 @@
+#include "net/listener.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+
+#include <stdexcept>
+
+#include "telemetry/telemetry.hpp"
+
+namespace marblewharf::net {
+
+constexpr int backlog = 512;  // connections that wait while this process is stalled
+
+listener::listener(reactor& r, const std::string& host, std::uint16_t port, handler accepted)
+    : reactor_(r), accepted_(std::move(accepted)) {
+  try {
+    socket_.bind(Poco::Net::SocketAddress(host, port), true);
+    socket_.listen(backlog);
+  } catch (const Poco::Exception& e) {
+    throw std::runtime_error("listen: " + host + ":" + std::to_string(port) + ": " + e.displayText());
+  }
+  reactor_.addEventHandler(
+      socket_, Poco::NObserver<listener, Poco::Net::ReadableNotification>(*this, &listener::on_readable));
+}
+
+listener::~listener() {
+  close();
+}
+
+void listener::close() {
+  if (!open_) return;
+  open_ = false;
+  reactor_.removeEventHandler(
+      socket_, Poco::NObserver<listener, Poco::Net::ReadableNotification>(*this, &listener::on_readable));
+  try {
+    socket_.close();
+  } catch (const Poco::Exception&) {  // it is gone either way
+  }
+}
+
+void listener::on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
+  if (!open_) return;
+  reactor_.wake();
+  try {
+    accepted_(socket_.acceptConnection());
+  } catch (const Poco::Exception& e) {
+    telemetry::log("accept", "no connection: %s", e.displayText().c_str());
+  }
+}
+
+}  // namespace marblewharf::net
--- /dev/null
+++ b/src/net/reactor.hpp
@@ -0,0 +1,45 @@
+// POCO's SocketReactor with one step of the program between its rounds of dispatch, and times fine enough for
+// the module's timers.
+#pragma once
+
+#include <Poco/Net/SocketReactor.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "config/limits.hpp"
+
+namespace marblewharf::net {
+
+using time_point = std::chrono::nanoseconds;
+
+time_point steady_now();
+std::int64_t unix_ms();
+
+class reactor : public Poco::Net::SocketReactor {
+ public:
+  explicit reactor(const limits& bounds);
+
+  // `step` is called after each round of dispatch and when the time that it returned has come.
+  void serve(std::function<time_point()> step);
+
+  // A handler may not be destroyed while it is dispatched to: what is retired goes before the next step.
+  void retire(std::shared_ptr<void> handler) { retired_.push_back(std::move(handler)); }
+
+  // Something was read or reported: step at once after this round.
+  void wake();
+
+ private:
+  void advance();
+  void onTimeout() override { advance(); }
+  void onIdle() override { advance(); }
+  void onBusy() override { advance(); }
+
+  const limits& bounds_;
+  std::function<time_point()> step_;
+  std::vector<std::shared_ptr<void>> retired_;
+};
+
+}  // namespace marblewharf::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,143 @@
+#include "net/stream.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+
+#include <algorithm>
+
+namespace marblewharf::net {
+
+stream::stream(reactor& r, const limits& bounds, owner& o, Poco::Net::StreamSocket socket)
+    : reactor_(r), bounds_(bounds), owner_(o), socket_(std::move(socket)) {
+  socket_.setBlocking(false);
+  socket_.setNoDelay(true);
+  watch();
+}
+
+stream::stream(reactor& r, const limits& bounds, owner& o, const Poco::Net::SocketAddress& to)
+    : reactor_(r), bounds_(bounds), owner_(o), connecting_(true) {
+  socket_.connectNB(to);
+  watch();
+  watch_writable(true);
+}
+
+stream::~stream() {
+  close();
+}
+
+void stream::watch() {
+  reactor_.addEventHandler(
+      socket_, Poco::NObserver<stream, Poco::Net::ReadableNotification>(*this, &stream::on_readable));
+  reactor_.addEventHandler(socket_,
+                           Poco::NObserver<stream, Poco::Net::ErrorNotification>(*this, &stream::on_error));
+}
+
+// Subscribed only while something waits: a socket that could be written to ends every poll at once.
+void stream::watch_writable(bool wanted) {
+  if (wanted == watching_writable_) return;
+  watching_writable_ = wanted;
+  const Poco::NObserver<stream, Poco::Net::WritableNotification> observer(*this, &stream::on_writable);
+  if (wanted) {
+    reactor_.addEventHandler(socket_, observer);
+  } else {
+    reactor_.removeEventHandler(socket_, observer);
+  }
+}
+
+void stream::close() {
+  if (!open_) return;
+  open_ = false;
+  watch_writable(false);
+  reactor_.removeEventHandler(
+      socket_, Poco::NObserver<stream, Poco::Net::ReadableNotification>(*this, &stream::on_readable));
+  reactor_.removeEventHandler(
+      socket_, Poco::NObserver<stream, Poco::Net::ErrorNotification>(*this, &stream::on_error));
+  try {
+    socket_.close();
+  } catch (const Poco::Exception&) {  // it is gone either way
+  }
+}
+
+void stream::lose(const char* why) {
+  if (!open_) return;
+  close();
+  owner_.on_lost(why);
+}
+
+void stream::on_readable(const readable&) {
+  if (!open_) return;
+  reactor_.wake();
+  const std::size_t had = in_.size();
+  in_.resize(had + bounds_.read_chunk);
+  int got = 0;
+  try {
+    got = socket_.receiveBytes(in_.data() + had, static_cast<int>(bounds_.read_chunk));
+  } catch (const Poco::Exception& e) {
+    in_.resize(had);
+    lose("reset");
+    return;
+  }
+  in_.resize(had + static_cast<std::size_t>(std::max(got, 0)));
+  if (got == 0) {
+    lose("closed by the other side");
+    return;
+  }
+  if (got < 0) return;  // nothing there after all
+  std::size_t taken = 0;
+  while (open_ && taken < in_.size()) {
+    const std::size_t more = owner_.on_bytes(std::string_view(in_).substr(taken));
+    if (more == 0) break;
+    taken += more;
+  }
+  in_.erase(0, taken);
+}
+
+void stream::on_writable(const writable&) {
+  if (!open_) return;
+  if (connecting_) {
+    connecting_ = false;
+    if (socket_.impl()->socketError() != 0) {
+      lose("cannot connect");
+      return;
+    }
+    socket_.setNoDelay(true);
+    owner_.on_open();
+    if (!open_) return;
+  }
+  flush();
+}
+
+void stream::on_error(const error&) {
+  lose(connecting_ ? "cannot connect" : "socket error");
+}
+
+void stream::send(std::string_view bytes) {
+  if (!open_) return;
+  // Guards the process's memory against a peer that sends and never reads.
+  if (out_.size() + bytes.size() > bounds_.write_buffer) {
+    lose("reads too slowly");
+    return;
+  }
+  const bool idle = out_.empty();
+  out_.append(bytes);
+  if (idle && !connecting_) flush();
+}
+
+void stream::flush() {
+  std::size_t written = 0;
+  while (written < out_.size()) {
+    int more = 0;
+    try {
+      more = socket_.sendBytes(out_.data() + written, static_cast<int>(out_.size() - written));
+    } catch (const Poco::Exception&) {
+      lose("reset");
+      return;
+    }
+    if (more <= 0) break;
+    written += static_cast<std::size_t>(more);
+  }
+  out_.erase(0, written);
+  watch_writable(!out_.empty());
+}
+
+}  // namespace marblewharf::net
--- /dev/null
+++ b/src/runtime/link.cpp
@@ -0,0 +1,241 @@
+#include "runtime/link.hpp"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace marblewharf::runtime {
+
+using telemetry::log;
+
+namespace {
+
+// Two looks at one start of the runtime differ by the way of a message; a restart takes seconds.
+constexpr duration same_start = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+class link::connection : public net::stream::owner {
+ public:
+  connection(link& l, const Poco::Net::SocketAddress& to)
+      : link_(l), stream(l.reactor_, l.config_.bounds, *this, to) {}
+  std::size_t on_bytes(std::string_view bytes) override { return link_.on_bytes(bytes); }
+  void on_open() override { link_.on_open(); }
+  void on_lost(const char* why) override { link_.on_lost(why); }
+
+ private:
+  link& link_;
+
+ public:
+  net::stream stream;
+};
+
+link::link(net::reactor& r, const config& settings, dispatcher& d, telemetry::counters& counters)
+    : reactor_(r), config_(settings), dispatcher_(d), counters_(counters) {}
+
+link::~link() = default;
+
+void link::run(request_id id, const request& what) {
+  const auto [at, added] = calls_.try_emplace(what.label);
+  if (!added) {  // the runtime knows runs by label: a second one of that name could not be told apart
+    log("bad-request", "a label that runs already: %s", what.label.c_str());
+    dispatcher_.on_end(id, run_end::never_started, {}, {});
+    return;
+  }
+  call& c = at->second;
+  c.id = id;
+  c.label = what.label;
+  c.request_class = what.request_class;
+  c.payload = what.payload;
+  labels_.emplace(id, what.label);
+  if (state_ == state::up) send_start(c);
+}
+
+// A write may find that the link is lost, also halfway through a round of commands.
+void link::say(const std::string& line) {
+  if (connection_) connection_->stream.send(line);
+}
+
+void link::send_start(call& c) {
+  c.start = sent::on_its_way;
+  c.fence = questions_ + 1;
+  say(
+      encode_start(c.label, config_.settings.classes[c.request_class].name, c.payload));
+}
+
+void link::pause(request_id id) {
+  const auto known = labels_.find(id);
+  if (known == labels_.end()) return;
+  const auto at = calls_.find(known->second);
+  call& c = at->second;
+  c.stopped = true;
+  if (c.start == sent::no) {  // it never left this process
+    finish(at, run_end::never_started, {}, {});
+  } else if (state_ == state::up) {
+    say(encode_stop(c.label));
+  }
+}
+
+void link::resume(request_id id) {
+  const auto known = labels_.find(id);
+  if (known == labels_.end()) return;
+  call& c = calls_.at(known->second);
+  c.stopped = false;
+  if (state_ == state::up) say(encode_cont(c.label));
+}
+
+void link::finish(calls::iterator at, run_end how, std::string_view result, duration elapsed) {
+  const request_id id = at->second.id;
+  labels_.erase(id);
+  calls_.erase(at);
+  reactor_.wake();
+  dispatcher_.on_end(id, how, result, elapsed);
+}
+
+time_point link::step(time_point now) {
+  if (state_ == state::down && now >= next_try_) {
+    next_try_ = now + config_.bounds.reconnect_every;
+    state_ = state::connecting;
+    try {
+      connection_ = std::make_shared<connection>(
+          *this, Poco::Net::SocketAddress(config_.runtime.host, config_.runtime.port));
+    } catch (const Poco::Exception& e) {
+      log("link-lost", "runtime: %s", e.displayText().c_str());
+      state_ = state::down;
+    }
+  }
+  if (state_ == state::up && now >= next_question_) ask(now);
+  return state_ == state::up ? next_question_ : std::max(next_try_, now + config_.bounds.longest_poll);
+}
+
+void link::ask(time_point now) {
+  next_question_ = now + config_.bounds.gauges_every;
+  say(encode_gauges(std::to_string(++questions_)));
+}
+
+std::vector<double> link::gauges(time_point now) const {
+  return now - gauges_at_ > config_.bounds.gauges_stale ? std::vector<double>{} : gauges_;
+}
+
+void link::on_open() {
+  state_ = state::syncing;
+  say(encode_sync(last_serial_));
+}
+
+void link::on_lost(const char* why) {
+  if (state_ != state::connecting) {
+    ++counters_.links_lost;
+    log("link-lost", "runtime: %s; %zu runs", why, calls_.size());
+  }
+  state_ = state::down;
+  reactor_.retire(std::move(connection_));
+  next_try_ = net::steady_now() + config_.bounds.reconnect_every;
+}
+
+std::size_t link::on_bytes(std::string_view bytes) {
+  const std::size_t newline = bytes.find('\n');
+  if (newline == std::string_view::npos) {
+    if (bytes.size() <= config_.bounds.runtime_line) return 0;
+    log("bad-line", "runtime: a line without end");
+    connection_->stream.close();
+    on_lost("a line without end");
+    return 0;
+  }
+  try {
+    if (const auto n = decode(bytes.substr(0, newline)))
+      std::visit([this](const auto& what) { on(what); }, *n);
+  } catch (const bad_line& e) {
+    ++counters_.bad_frames;
+    log("bad-line", "runtime: %s", e.what());
+  }
+  return newline + 1;
+}
+
+void link::on(const ready& n) {
+  const time_point start = net::steady_now() - n.up;
+  const bool first = runtime_start_.count() == 0;
+  const bool restarted = !first && start > runtime_start_ + same_start;
+  log("runtime", "%s, up for %lld ms, %zu runs", n.starting ? "starting" : "running",
+      static_cast<long long>(n.up / std::chrono::milliseconds(1)), calls_.size());
+  runtime_start_ = start;
+  if (first) dispatcher_.on_server_up(n.starting, start);
+  if (restarted) {
+    // Its runs died with it, and its serial numbers may begin anew.
+    last_serial_ = 0;
+    while (!calls_.empty()) {
+      const bool ran = calls_.begin()->second.start != sent::no;
+      finish(calls_.begin(), ran ? run_end::fault : run_end::never_started, {}, {});
+    }
+  }
+  state_ = state::catching_up;
+  ask(net::steady_now());
+  settle_at_ = questions_;
+}
+
+bool link::fresh(std::uint64_t serial) {
+  if (serial <= last_serial_) return false;  // replayed, and read before
+  last_serial_ = serial;
+  return true;
+}
+
+void link::on(const end& n) {
+  if (!fresh(n.serial)) return;
+  const auto at = calls_.find(n.call);
+  if (at == calls_.end()) return;
+  if (n.result.size() > config_.bounds.result) {
+    log("bad-line", "a result of %zu bytes", n.result.size());
+    finish(at, run_end::fault, {}, n.elapsed);
+    return;
+  }
+  finish(at, n.how, n.result, n.elapsed);
+}
+
+void link::on(const load& n) {
+  std::uint64_t asked = 0;
+  std::from_chars(n.cookie.data(), n.cookie.data() + n.cookie.size(), asked);
+  gauges_ = n.stats;
+  gauges_at_ = net::steady_now();
+  for (auto& [label, c] : calls_) {
+    if (c.start != sent::on_its_way || c.fence > asked) continue;
+    if (state_ == state::catching_up) continue;  // sent on a link that is gone: settled below
+    c.start = sent::arrived;
+    c.payload.clear();
+  }
+  if (state_ == state::catching_up && asked >= settle_at_) settle();
+}
+
+// Every end until now is known. A start that may have been lost with the link is sent again only where a
+// second run does no harm; an effect may be running, so it is stopped and counts as failed.
+void link::settle() {
+  state_ = state::up;
+  std::vector<std::string> labels;
+  for (const auto& [label, c] : calls_) labels.push_back(label);
+  for (const std::string& label : labels) {
+    const auto at = calls_.find(label);
+    if (at == calls_.end()) continue;
+    call& c = at->second;
+    const bool safe = config_.settings.classes[c.request_class].repeats == wrenrill::effect::safe;
+    if (c.start == sent::no || (c.start == sent::on_its_way && safe && !c.stopped)) {
+      send_start(c);
+    } else if (c.start == sent::on_its_way) {
+      say(encode_stop(label));
+      finish(at, run_end::fault, {}, {});
+    } else if (c.stopped) {
+      say(encode_stop(label));
+    }
+  }
+}
+
+void link::on(const nack& n) {
+  ++counters_.nacks;
+  log("nack", "runtime: %s of %s", n.command.c_str(), n.call.c_str());
+  const auto at = calls_.find(n.call);
+  if (n.command == "start" && at != calls_.end()) finish(at, run_end::never_started, {}, {});
+}
+
+void link::on(const info& n) {
+  if (fresh(n.serial)) log("runtime", "%s", n.text.c_str());
+}
+
+}  // namespace marblewharf::runtime
--- /dev/null
+++ b/src/runtime/link.hpp
@@ -0,0 +1,86 @@
+// The link to the runtime that owns the cores: runs what the dispatcher hands over, across lost links.
+//
+// A lost link loses commands, not runs. Commands on a link are carried out in their order, so the answer to a
+// `gauges` shows that every start before it arrived. After a reconnect the same question, asked behind the
+// replayed notices, shows that every end until then is known; only then is anything settled that was on its
+// way when the link broke.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/dispatcher.hpp"
+#include "net/stream.hpp"
+#include "runtime/messages.hpp"
+#include "telemetry/telemetry.hpp"
+
+namespace marblewharf::runtime {
+
+class link : public backend {
+ public:
+  link(net::reactor& r, const config& settings, dispatcher& d, telemetry::counters& counters);
+  ~link() override;
+
+  void run(request_id id, const request& what) override;
+  void pause(request_id id) override;
+  void resume(request_id id) override;
+
+  // Connects, asks for the gauges; returns when it wants to be called again.
+  time_point step(time_point now);
+
+  // The last gauges; none where they are too old to tell anything.
+  std::vector<double> gauges(time_point now) const;
+
+ private:
+  class connection;
+  enum class state { down, connecting, syncing, catching_up, up };
+  enum class sent { no, on_its_way, arrived };
+
+  struct call {
+    request_id id{};
+    std::string label;
+    unsigned request_class = 0;
+    std::string payload;  // until its start has arrived
+    sent start = sent::no;
+    std::uint64_t fence = 0;  // the question whose answer shows that the start arrived
+    bool stopped = false;     // wanted, and to be said again on a new link
+  };
+  using calls = std::unordered_map<std::string, call>;
+
+  void on_open();
+  std::size_t on_bytes(std::string_view bytes);
+  void on_lost(const char* why);
+  void on(const ready& n);
+  void on(const end& n);
+  void on(const load& n);
+  void on(const nack& n);
+  void on(const info& n);
+  bool fresh(std::uint64_t serial);
+  void say(const std::string& line);
+  void send_start(call& c);
+  void settle();
+  void ask(time_point now);
+  void finish(calls::iterator at, run_end how, std::string_view result, duration elapsed);
+
+  net::reactor& reactor_;
+  const config& config_;
+  dispatcher& dispatcher_;
+  telemetry::counters& counters_;
+  std::shared_ptr<connection> connection_;
+  state state_ = state::down;
+  calls calls_;  // by label
+  std::unordered_map<request_id, std::string> labels_;
+  std::uint64_t last_serial_ = 0;
+  std::uint64_t questions_ = 0;  // asked for gauges so often
+  std::uint64_t settle_at_ = 0;  // the question behind the replayed notices
+  time_point runtime_start_{};   // 0 = not heard yet
+  time_point next_try_{};
+  time_point next_question_{};
+  std::vector<double> gauges_;
+  time_point gauges_at_{};
+};
+
+}  // namespace marblewharf::runtime
--- /dev/null
+++ b/src/telemetry/telemetry.hpp
@@ -0,0 +1,31 @@
+// What the program tells its operators: log lines and counters.
+#pragma once
+
+#include <cstdint>
+
+namespace marblewharf::telemetry {
+
+// One log line on standard error: the time, the word by which docs/oncall.md lists the line, then the text.
+// At most limit_lines() lines of a word in a second; what was left out is counted on its next line. Safe to
+// call from any thread. `word` must be a literal.
+[[gnu::format(printf, 2, 3)]] void log(const char* word, const char* format, ...);
+
+void limit_lines(unsigned each_second);
+
+struct counters {
+  std::uint64_t connections = 0;  // accepted
+  std::uint64_t taken_in = 0;     // requests read, whatever became of them
+  std::uint64_t sent = 0;         // runs handed to a backend
+  std::uint64_t served = 0, refused = 0, failed = 0;
+  std::uint64_t gone = 0;          // callers that left before their answer
+  std::uint64_t given_up = 0;      // among the failed: past what the module grants
+  std::uint64_t bad_requests = 0;  // failed at once: a field, class or tenant that is wrong
+  std::uint64_t bad_frames = 0;    // undecodable, oversized or one too many
+  std::uint64_t checks = 0;        // health checks answered
+  std::uint64_t links_lost = 0;    // to the runtime
+  std::uint64_t nacks = 0;
+};
+
+void print(const counters& c);
+
+}  // namespace marblewharf::telemetry
--- /dev/null
+++ b/src/thrift/front.cpp
@@ -0,0 +1,285 @@
+#include "thrift/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace marblewharf::thrift {
+
+using telemetry::log;
+
+class server::connection : public net::stream::owner {
+ public:
+  connection(server& s, const Poco::Net::StreamSocket& socket)
+      : server_(s), stream_(s.reactor_, s.config_.bounds, *this, socket) {}
+
+  std::size_t on_bytes(std::string_view bytes) override;
+  void on_lost(const char*) override { server_.drop(*this); }
+
+  void send(const std::string& frame) {
+    last_used_ = net::steady_now();
+    stream_.send(frame);
+  }
+  void let_go() {
+    if (asked_to_close_) return;
+    asked_to_close_ = true;
+    stream_.send(encode_closing());
+  }
+
+  // Its sender broke the protocol: what is open is still answered, nothing more is read.
+  void poison(const char* why);
+
+  server& server_;
+  net::stream stream_;
+  std::unordered_map<std::int32_t, request_id> open_;  // by sequence number
+  time_point last_used_ = net::steady_now();
+  time_point half_since_{};  // 0 = nothing stands half-read
+  bool asked_to_close_ = false;
+  bool poisoned_ = false;
+
+ private:
+  void take(const message& m);
+  void reject(std::int32_t seqid, app_error why, const std::string& text);
+};
+
+std::size_t server::connection::on_bytes(std::string_view bytes) {
+  if (poisoned_) return bytes.size();  // read on, to see its end
+  last_used_ = net::steady_now();
+  half_since_ = {};
+  try {
+    const std::optional<frame> f = next_frame(bytes, server_.config_.bounds);
+    if (!f) {
+      half_since_ = last_used_;
+      return 0;
+    }
+    take(decode(f->payload, server_.config_.bounds));
+    return f->size;
+  } catch (const bad_frame& e) {
+    poison(e.what());
+    return bytes.size();
+  }
+}
+
+void server::connection::poison(const char* why) {
+  ++server_.counters_.bad_frames;
+  log("bad-frame", "connection given up, %zu open: %s", open_.size(), why);
+  poisoned_ = true;
+  half_since_ = {};
+  let_go();
+  if (open_.empty()) {
+    stream_.close();
+    server_.drop(*this);
+  }
+}
+
+void server::connection::reject(std::int32_t seqid, app_error why, const std::string& text) {
+  ++server_.counters_.bad_frames;
+  log("bad-request", "message %d rejected: %s", seqid, text.c_str());
+  send(encode_exception(seqid, "execute", why, text));
+}
+
+void server::connection::take(const message& m) {
+  if (const auto* e = std::get_if<execute>(&m.content)) {
+    if (open_.contains(m.seqid)) {
+      poison("a sequence number that is open already");
+    } else if (open_.size() >= server_.config_.bounds.open_each_connection) {
+      reject(m.seqid, app_error::internal, "too many open requests");
+    } else {
+      server_.read(*this, *e, m.seqid);
+    }
+  } else if (const auto* i = std::get_if<interrupt>(&m.content)) {
+    const auto found = open_.find(i->seqid);
+    if (found == open_.end()) return;  // answered already
+    const request_id id = found->second;
+    open_.erase(found);
+    server_.open_.erase(id);
+    server_.dispatcher_.on_gone(id);
+  } else if (std::holds_alternative<check>(m.content)) {
+    ++server_.counters_.checks;
+    send(encode_health(m.seqid, server_.dispatcher_.healthy()));
+  } else {
+    const auto& u = std::get<undecodable>(m.content);
+    if (u.answerable) {
+      reject(m.seqid, u.why, u.text);
+    } else {
+      ++server_.counters_.bad_frames;
+      log("bad-request", "oneway message ignored: %s", u.text.c_str());
+    }
+  }
+}
+
+namespace {
+
+std::optional<double> number(const std::string& text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc{} || stopped != end || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+template <typename T>
+std::optional<T> integer(const std::string& text, int base = 10) {
+  T value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, error] = std::from_chars(text.data(), end, value, base);
+  if (error != std::errc{} || stopped != end) return std::nullopt;
+  return value;
+}
+
+constexpr std::size_t hex_size = 16;
+constexpr double most_ram_kb = 2000;
+constexpr std::int64_t longest_wait_ms = 600000;  // a door beyond this is a wrong clock
+
+// The fields of one request, checked. Throws the name of the first that is missing or wrong.
+struct field_error {
+  const char* name;
+};
+
+const std::string& field(const field_map& fields, const char* name) {
+  const auto found = fields.find(name);
+  if (found == fields.end()) throw field_error{name};
+  return found->second;
+}
+
+std::uint64_t hex_field(const std::string& text, const char* name) {
+  const auto value = integer<std::uint64_t>(text, 16);
+  if (!value || text.size() != hex_size) throw field_error{name};
+  return *value;
+}
+
+double number_field(const field_map& fields, const char* name, double least, double under) {
+  const auto value = number(field(fields, name));
+  if (!value || *value < least || *value >= under) throw field_error{name};
+  return *value;
+}
+
+unsigned index_field(const field_map& fields, const char* name,
+                     const std::unordered_map<std::string, unsigned>& known) {
+  const auto found = known.find(field(fields, name));
+  if (found == known.end()) throw field_error{name};
+  return found->second;
+}
+
+}  // namespace
+
+server::server(net::reactor& r, const config& settings, dispatcher& d, backend& b,
+               telemetry::counters& counters)
+    : reactor_(r),
+      config_(settings),
+      dispatcher_(d),
+      backend_(b),
+      counters_(counters),
+      listener_(r, settings.listen.host, settings.listen.port,
+                [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
+  const wrenrill::settings& s = settings.settings;
+  for (unsigned i = 0; i < s.classes.size(); ++i) classes_.emplace(s.classes[i].name, i);
+  for (unsigned i = 0; i < s.tenants.size(); ++i) tenants_.emplace(s.tenants[i].name, i);
+  d.add(*this);
+}
+
+server::~server() = default;
+
+void server::accept(const Poco::Net::StreamSocket& socket) {
+  // Guards the descriptors: one more than these and the program could not reach its runtime.
+  if (connections_.size() >= config_.bounds.connections) {
+    log("full", "connection closed at once, %zu stand", connections_.size());
+    return;
+  }
+  ++counters_.connections;
+  connections_.push_back(std::make_shared<connection>(*this, socket));
+  if (leaving_) connections_.back()->let_go();
+}
+
+void server::read(connection& from, const execute& what, std::int32_t seqid) {
+  request r;
+  try {
+    r.label = field(what.fields, "txn");
+    hex_field(r.label, "txn");
+    r.request_class = index_field(what.fields, "verb", classes_);
+    r.tenant = tenants_.empty() ? 0 : index_field(what.fields, "team", tenants_);
+    const auto caller = integer<unsigned>(field(what.fields, "lb"));
+    if (!caller) throw field_error{"lb"};
+    r.caller = *caller;
+    const auto door = integer<std::int64_t>(field(what.fields, "door"));
+    if (!door || *door < 0) throw field_error{"door"};
+    // A door in the future is another clock that runs ahead: as if it had just come.
+    r.waited = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(net::unix_ms() - *door, 0, longest_wait_ms));
+    constexpr double most_ms = 1e7;
+    r.work = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(number_field(what.fields, "cpu", 0, most_ms)));
+    r.held_kb = number_field(what.fields, "ram", 0, most_ram_kb);
+    if (r.held_kb <= 0) throw field_error{"ram"};
+    r.rank = number_field(what.fields, "standing", 0, 1);
+    if (const auto item = what.fields.find("item"); item != what.fields.end())
+      r.subject = hex_field(item->second, "item");
+  } catch (const field_error& e) {
+    ++counters_.bad_requests;
+    log("bad-request", "field %s is missing or wrong", e.name);
+    from.send(encode_internal(seqid, {}));
+    return;
+  }
+  r.payload = what.body;
+  const request_id id = dispatcher_.on_arrival(*this, backend_, std::move(r));
+  from.open_.emplace(seqid, id);
+  open_.emplace(id, open_request{&from, seqid});
+}
+
+void server::respond(request_id id, const answer& final) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  const open_request to = found->second;
+  open_.erase(found);
+  to.from->open_.erase(to.seqid);
+  field_map fields;
+  if (final.retry_after.count() > 0)
+    fields.emplace("later", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(final.retry_after).count()));
+  if (final.not_elsewhere) fields.emplace("giveup", "1");
+  switch (final.how) {
+    case verdict::served: to.from->send(encode_served(to.seqid, final.result)); break;
+    case verdict::refused: to.from->send(encode_overloaded(to.seqid, fields)); break;
+    case verdict::failed: to.from->send(encode_internal(to.seqid, fields)); break;
+  }
+}
+
+void server::drop(connection& c) {
+  for (const auto& [seqid, id] : c.open_) {
+    open_.erase(id);
+    dispatcher_.on_gone(id);
+  }
+  c.open_.clear();
+  const auto at = std::find_if(connections_.begin(), connections_.end(),
+                               [&c](const auto& other) { return other.get() == &c; });
+  if (at == connections_.end()) return;
+  reactor_.retire(*at);
+  connections_.erase(at);
+}
+
+time_point server::step(time_point now) {
+  if (now < next_sweep_) return next_sweep_;
+  next_sweep_ = now + config_.bounds.longest_poll;
+  for (auto i = connections_.begin(); i != connections_.end();) {
+    connection& c = **i++;
+    const bool half = c.half_since_.count() > 0 && c.stream_.half_read();
+    if (half && now - c.half_since_ > config_.bounds.half_frame) {
+      c.poison("a message that never became whole");
+    } else if (c.poisoned_ && c.open_.empty() && c.stream_.flushed()) {
+      c.stream_.close();
+      drop(c);
+    } else if (idle_after_.count() > 0 && c.open_.empty() && now - c.last_used_ > idle_after_) {
+      c.let_go();
+    }
+  }
+  return next_sweep_;
+}
+
+void server::leave() {
+  if (std::exchange(leaving_, true)) return;
+  listener_.close();
+  for (const auto& c : connections_) c->let_go();
+}
+
+}  // namespace marblewharf::thrift
--- /dev/null
+++ b/src/thrift/front.hpp
@@ -0,0 +1,58 @@
+// Where balancers come in: reads their requests, hands them to the dispatcher and writes its answers.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+#include "config/config.hpp"
+#include "core/dispatcher.hpp"
+#include "net/listener.hpp"
+#include "net/stream.hpp"
+#include "thrift/codec.hpp"
+
+namespace marblewharf::thrift {
+
+class server : public front {
+ public:
+  server(net::reactor& r, const config& settings, dispatcher& d, backend& b, telemetry::counters& counters);
+  ~server() override;
+
+  void respond(request_id id, const answer& final) override;
+  void close_idle(duration after) override { idle_after_ = after; }
+
+  // Closes what is idle too long or stands half-read; returns when it wants to be called again.
+  time_point step(time_point now);
+
+  // Takes no new connection and asks callers to let go of those that stand.
+  void leave();
+  bool empty() const { return connections_.empty(); }
+
+ private:
+  class connection;
+  using connections = std::list<std::shared_ptr<connection>>;
+  struct open_request {
+    connection* from = nullptr;
+    std::int32_t seqid = 0;
+  };
+
+  void accept(const Poco::Net::StreamSocket& socket);
+  void read(connection& from, const execute& what, std::int32_t seqid);
+  void drop(connection& c);
+
+  net::reactor& reactor_;
+  const config& config_;
+  dispatcher& dispatcher_;
+  backend& backend_;
+  telemetry::counters& counters_;
+  connections connections_;
+  std::unordered_map<request_id, open_request> open_;
+  std::unordered_map<std::string, unsigned> classes_;
+  std::unordered_map<std::string, unsigned> tenants_;
+  net::listener listener_;
+  duration idle_after_{};
+  time_point next_sweep_{};
+  bool leaving_ = false;
+};
+
+}  // namespace marblewharf::thrift
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -1,11 +1,11 @@
 #include "wire.hpp"
 
 #include <bit>
-#include <charconv>
 #include <cmath>
 #include <cstring>
 #include <limits>
-#include <map>
+
+#include "settings.hpp"
 
 namespace wrenrill::wire {
 namespace {
@@ -252,86 +252,6 @@
   void write(instance_id i, const log_line& a) { text(action_code::debug, i, a.text); }
 };
 
-// The settings as path=value pairs; every look-up has a default for keys that are absent.
-class environment_reader {
- public:
-  explicit environment_reader(std::string_view text) {
-    while (!text.empty()) {
-      const std::size_t end = std::min(text.find('\n'), text.size());
-      const std::string_view line = text.substr(0, end);
-      text.remove_prefix(std::min(end + 1, text.size()));
-      const std::size_t equals = line.find('=');
-      if (equals != std::string_view::npos) values_.emplace(line.substr(0, equals), line.substr(equals + 1));
-    }
-  }
-
-  std::string_view text(const std::string& key, std::string_view absent = "") const {
-    const auto found = values_.find(key);
-    return found == values_.end() ? absent : std::string_view(found->second);
-  }
-  double number(const std::string& key, double absent) const {
-    const std::string_view value = text(key);
-    return value.empty() ? absent : to_number(key, value);
-  }
-  duration time(const std::string& key, duration absent = {}) const {
-    const double value = number(key, static_cast<double>(absent.count()));
-    if (value < 0 || value > 9e17) throw std::invalid_argument(key + " is no usable time");
-    return duration{static_cast<std::int64_t>(value)};
-  }
-  unsigned count(const std::string& key, unsigned absent) const {
-    const double value = number(key, absent);
-    if (value < 0 || value > 1e6) throw std::invalid_argument(key + " is no usable count");
-    return static_cast<unsigned>(value);
-  }
-  bool flag(const std::string& key, bool absent) const {
-    const std::string_view value = text(key);
-    if (value.empty()) return absent;
-    if (value == "true" || value == "1") return true;
-    if (value == "false" || value == "0") return false;
-    throw std::invalid_argument(key + " is neither true nor false");
-  }
-  std::vector<std::string> list(const std::string& key) const {
-    std::vector<std::string> items;
-    std::string_view rest = text(key);
-    while (!rest.empty()) {
-      const std::size_t end = std::min(rest.find(','), rest.size());
-      items.emplace_back(rest.substr(0, end));
-      rest.remove_prefix(std::min(end + 1, rest.size()));
-    }
-    return items;
-  }
-  static double to_number(const std::string& key, std::string_view value) {
-    double parsed = 0;
-    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
-    if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(parsed)) {
-      throw std::invalid_argument(key + " is no number: " + std::string(value));
-    }
-    return parsed;
-  }
-
- private:
-  std::map<std::string, std::string, std::less<>> values_;
-};
-
-template <typename T>
-T pick(const environment_reader& env, const std::string& key, T absent,
-       std::initializer_list<std::pair<std::string_view, T>> words) {
-  const std::string_view value = env.text(key);
-  for (const auto& [word, meaning] : words) {
-    if (value == word) return meaning;
-  }
-  return absent;
-}
-
-std::vector<std::string> class_list(const environment_reader& env, const std::string& key,
-                                    std::size_t classes) {
-  auto items = env.list(key);
-  if (!items.empty() && items.size() != classes) {
-    throw std::invalid_argument(key + " does not have one value for each class");
-  }
-  return items;
-}
-
 }  // namespace
 
 batch_header decode_header(std::string_view bytes) {
@@ -370,59 +290,15 @@
 }
 
 settings parse_settings(std::string_view environment) {
-  const environment_reader env(environment);
-  settings s;
-  const unsigned classes = env.count("Classes.count", 0);
-  const auto calls = class_list(env, "Extra.ClassCalls", classes);
-  const auto without = class_list(env, "Extra.WorthWithout", classes);
-  for (unsigned i = 0; i < classes; ++i) {
-    const std::string at = "Classes." + std::to_string(i) + ".";
-    class_settings c;
-    c.name = env.text(at + "Name");
-    c.aim = env.time(at + "Objective");
-    c.deadline = env.time(at + "Deadline");
-    c.aim_stretch = env.number(at + "AimStretch", 0);
-    c.worth = env.number(at + "Credit", 1);
-    c.late_worth = env.number(at + "LateValue", 0);
-    c.repeats =
-        pick(env, at + "Effect", effect::safe, {{"keyed", effect::keyed}, {"unsafe", effect::unsafe}});
-    c.window = env.time(at + "Window");
-    c.calls = !calls.empty() && calls[i] == "true";
-    c.worth_without = without.empty() ? 0 : environment_reader::to_number("Extra.WorthWithout", without[i]);
-    s.classes.push_back(std::move(c));
-  }
-  const unsigned tenants = env.count("Tenants.count", 0);
-  for (unsigned i = 0; i < tenants; ++i) {
-    const std::string at = "Tenants." + std::to_string(i) + ".";
-    s.tenants.push_back({std::string(env.text(at + "Name")), env.number(at + "QuotaPerS", 0)});
+  setting_paths paths;
+  while (!environment.empty()) {
+    const std::size_t end = std::min(environment.find('\n'), environment.size());
+    const std::string_view line = environment.substr(0, end);
+    environment.remove_prefix(std::min(end + 1, environment.size()));
+    const std::size_t equals = line.find('=');
+    if (equals != std::string_view::npos) paths.emplace(line.substr(0, equals), line.substr(equals + 1));
   }
-  s.servers = env.count("GroupSize", 1);
-  s.callers = env.count("Extra.Upstreams", 1);
-  s.cores = env.count("Extra.NCores", 0);
-  s.cold = env.flag("Extra.Cold", false);
-  s.cold_speed = env.number("Safety.StartCapacity", 1);
-  s.warm_within = env.time("Safety.Cold");
-  s.crowd_factor = env.number("Safety.OverloadFactor", 0);
-  s.crowd_period = env.time("Safety.Fall");
-  s.memory_kb = env.number("Extra.RamKb", 0);
-  s.run_factor = env.number("Extra.RunFactor", 1);
-  s.key_kb = env.number("Extra.KbPerKey", 0);
-  s.fair_calls = env.number("Extra.FairCalls", 0);
-  s.calls_period = env.time("Extra.CallsOver");
-  s.call_linger = env.time("Extra.Lingers");
-  s.fresh = env.time("Extra.Fresh");
-  s.answer_slack = env.time("Safety.AnswerSlack");
-  s.drain_grace = env.time("Safety.DrainGrace");
-  s.signal_heeded = env.time("Extra.Heeded");
-  s.max_retry_after = env.time("Bounds.MaxRetryAfter");
-  s.retry_after = env.flag("Bounds.RetryAfter", false);
-  s.tick = env.time("Tick");
-  s.halt = pick(env, "Extra.Halt", halt_mode::none, {{"drop", halt_mode::drop}, {"pause", halt_mode::pause}});
-  s.signal =
-      pick(env, "Extra.Say", signal_kind::none,
-           {{"level", signal_kind::level}, {"credit", signal_kind::credit}, {"weight", signal_kind::weight}});
-  s.gauges = env.list("Extra.Gauges");
-  return s;
+  return settings_from(paths);
 }
 
 }  // namespace wrenrill::wire
