Stop spinning on a writable socket: lower POCO's poll mode after a connect

Ruled out: the timers (waits of 19 ms were asked for). At fault: POCO 1.11's SocketReactor::removeEventHandler, which leaves the poll mode as it was while other handlers stay; adding one works it out anew, so stream::watch_writable swaps one.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -32,7 +32,10 @@
                            Poco::NObserver<stream, Poco::Net::ErrorNotification>(*this, &stream::on_error));
 }
 
-// Subscribed only while something waits: a socket that could be written to ends every poll at once.
+// Subscribed only while something waits: a socket that could be written to ends every poll at once. POCO 1.11
+// takes back a poll mode only with a socket's last handler, but works it out anew with each that is added: so
+// another handler is taken out and put in. Guards against a node that spins on the runtime's link from its
+// first connect on (seen as a whole core used by an idle node).
 void stream::watch_writable(bool wanted) {
   if (wanted == watching_writable_) return;
   watching_writable_ = wanted;
@@ -41,6 +44,10 @@
     reactor_.addEventHandler(socket_, observer);
   } else {
     reactor_.removeEventHandler(socket_, observer);
+    if (!open_) return;
+    const Poco::NObserver<stream, Poco::Net::ErrorNotification> other(*this, &stream::on_error);
+    reactor_.removeEventHandler(socket_, other);
+    reactor_.addEventHandler(socket_, other);
   }
 }
 
