Add capture files as a source and record of traffic, and the middleware for POCO's HTTP server

In reassembly order is told by sequence numbers around the next byte that is due, so repeats, swaps and wraps need no clock; a hole beyond its bound or the end ends that connection only.

--- /dev/null
+++ b/examples/guarded_server.cpp
@@ -0,0 +1,74 @@
+// A Poco HTTP server whose handlers run behind the admission module. Serves GET /kurs on 127.0.0.1 until its
+// standard input ends; the port is the first argument, 0 for any, and is printed.
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <marblewharf/middleware.hpp>
+#include <thread>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class price : public Poco::Net::HTTPRequestHandler {
+ public:
+  void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
+    std::this_thread::sleep_for(100ms);  // stands for the work
+    if (request.getURI() == "/broken") {
+      response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+      response.setContentLength(0);
+      response.send();
+      return;
+    }
+    response.setContentLength(6);
+    response.send() << "101.42";
+  }
+};
+
+class prices : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override {
+    return new price;
+  }
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  wrenrill::settings settings;
+  settings.cores = 2;
+  settings.crowd_factor = 5;
+  settings.max_retry_after = 1s;
+  settings.retry_after = true;
+  settings.tick = 1ms;
+  settings.gauges = {"cpu_busy"};
+  settings.classes.push_back({.name = "kurs-abfrage", .aim = 500ms, .deadline = 2s});
+
+  marblewharf::middleware::gate gate(settings);
+  const auto port = static_cast<std::uint16_t>(argc > 1 ? std::atoi(argv[1]) : 0);
+  Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+  auto* params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(64);  // those that wait at the gate included
+  Poco::Net::HTTPServer server(
+      new marblewharf::middleware::handler_factory(
+          new prices, gate, [](const Poco::Net::HTTPServerRequest&) { return marblewharf::middleware::traits{}; }),
+      socket, params);
+  server.start();
+  std::printf("%d\n", static_cast<int>(socket.address().port()));
+  std::fflush(stdout);
+  while (std::getchar() != EOF) {
+  }
+  gate.drain(2s);
+  server.stopAll(false);
+  const marblewharf::middleware::tally t = gate.counts();
+  std::printf("taken_in=%llu started=%llu served=%llu refused=%llu failed=%llu\n",
+              static_cast<unsigned long long>(t.taken_in), static_cast<unsigned long long>(t.started),
+              static_cast<unsigned long long>(t.served), static_cast<unsigned long long>(t.refused),
+              static_cast<unsigned long long>(t.failed));
+  return 0;
+}
--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -24,6 +24,9 @@
   std::size_t connections = 900;  // of the descriptors, less what the program needs itself
   std::size_t write_buffer = std::size_t{256} << 10;
   std::size_t read_chunk = std::size_t{16} << 10;
+  std::size_t record = std::size_t{64} << 20;           // of a capture file that is written
+  std::size_t capture_flows = 4096;                     // connections followed in one that is read
+  std::size_t capture_waiting = std::size_t{256} << 10;  // bytes kept behind a hole in one of them
   unsigned log_lines = 5;  // of one word in a second
 
   // Times.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
 #include "net/reactor.hpp"
+#include "pcap/recorder.hpp"
 #include "runtime/link.hpp"
 #include "telemetry/telemetry.hpp"
 #include "thrift/front.hpp"
@@ -34,10 +35,11 @@
   }
 }
 
-void serve(const config& settings) {
+void serve(const config& settings, net::tap* tap) {
   const limits& bounds = settings.bounds;
   telemetry::counters counters;
   net::reactor reactor(bounds);
+  reactor.listen_in(tap);
   dispatcher desk(settings.settings, settings.seed, net::steady_now(), counters);
   runtime::link runtime(reactor, settings, desk, counters);
   catalog::reporter reporter(settings);
@@ -102,14 +104,19 @@
   std::signal(SIGUSR1, on_signal);
   try {
     config settings = load_config();
-    if (argc == 3 && std::strcmp(argv[1], "--uwsgi") == 0) {
-      settings.uwsgi = read_uwsgi(read_file(argv[2], "the uwsgi file"), settings.settings);
-    } else if (argc != 1) {
-      std::fprintf(stderr, "usage: marblewharf [--uwsgi FILE]\n");
-      return 2;
+    std::optional<pcap::recorder> recorder;
+    for (int i = 1; i < argc; i += 2) {
+      if (i + 1 < argc && std::strcmp(argv[i], "--uwsgi") == 0) {
+        settings.uwsgi = read_uwsgi(read_file(argv[i + 1], "the uwsgi file"), settings.settings);
+      } else if (i + 1 < argc && std::strcmp(argv[i], "--record") == 0) {
+        recorder.emplace(argv[i + 1], settings.bounds.record);
+      } else {
+        std::fprintf(stderr, "usage: marblewharf [--uwsgi FILE] [--record FILE]\n");
+        return 2;
+      }
     }
     telemetry::limit_lines(settings.bounds.log_lines);
-    serve(settings);
+    serve(settings, recorder ? &*recorder : nullptr);
     return 0;
   } catch (const Poco::Exception& e) {
     std::fprintf(stderr, "marblewharf: %s\n", e.displayText().c_str());
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -10,12 +10,17 @@
   return std::chrono::steady_clock::now().time_since_epoch();
 }
 
-std::int64_t unix_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
+std::int64_t unix_us() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
+std::int64_t unix_ms() {
+  constexpr std::int64_t us_each_ms = 1000;
+  return unix_us() / us_each_ms;
+}
+
 reactor::reactor(const limits& bounds) : bounds_(bounds) {}
 
 void reactor::serve(std::function<time_point()> step) {
--- a/src/net/reactor.hpp
+++ b/src/net/reactor.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/limits.hpp"
+#include "net/tap.hpp"
 
 namespace marblewharf::net {
 
@@ -17,6 +18,7 @@
 
 time_point steady_now();
 std::int64_t unix_ms();
+std::int64_t unix_us();
 
 class reactor : public Poco::Net::SocketReactor {
  public:
@@ -28,6 +30,10 @@
   // A handler may not be destroyed while it is dispatched to: what is retired goes before the next step.
   void retire(std::shared_ptr<void> handler) { retired_.push_back(std::move(handler)); }
 
+  // Hears all that goes over accepted connections; null: nobody does.
+  void listen_in(tap* t) { tap_ = t; }
+  tap* listener() const { return tap_; }
+
   // Something was read or reported: step at once after this round.
   void wake();
 
@@ -39,6 +45,7 @@
 
   const limits& bounds_;
   std::function<time_point()> step_;
+  tap* tap_ = nullptr;
   std::vector<std::shared_ptr<void>> retired_;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -12,6 +12,12 @@
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
   watch();
+  try {
+    tap_ = r.listener();
+    if (tap_ != nullptr) tap_->on_open(this, socket_.peerAddress().toString(), socket_.address().toString());
+  } catch (const Poco::Exception&) {  // its other side has gone already, which its first read will tell
+    tap_ = nullptr;
+  }
 }
 
 stream::stream(reactor& r, const limits& bounds, owner& o, const Poco::Net::SocketAddress& to)
@@ -54,6 +60,7 @@
 void stream::close() {
   if (!open_) return;
   open_ = false;
+  if (tap_ != nullptr) tap_->on_close(this);
   watch_writable(false);
   reactor_.removeEventHandler(
       socket_, Poco::NObserver<stream, Poco::Net::ReadableNotification>(*this, &stream::on_readable));
@@ -96,6 +103,7 @@
     return;
   }
   if (got < 0) return;  // nothing there after all
+  if (tap_ != nullptr) tap_->on_read(this, std::string_view(in_).substr(had));
   std::size_t taken = 0;
   while (open_ && taken < in_.size()) {
     const std::size_t more = owner_.on_bytes(std::string_view(in_).substr(taken));
@@ -131,6 +139,7 @@
     lose("reads too slowly");
     return;
   }
+  if (tap_ != nullptr) tap_->on_written(this, bytes);
   const bool idle = out_.empty();
   out_.append(bytes);
   if (idle && !connecting_) flush();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -64,6 +64,7 @@
   bool connecting_ = false;
   bool watching_writable_ = false;
   bool finishing_ = false;
+  tap* tap_ = nullptr;  // where it was accepted and somebody listens in
 };
 
 }  // namespace marblewharf::net
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -1,11 +1,11 @@
 #include "thrift/front.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <optional>
 #include <utility>
 
+#include "thrift/request.hpp"
+
 namespace marblewharf::thrift {
 
 using telemetry::log;
@@ -110,61 +110,6 @@
   }
 }
 
-namespace {
-
-std::optional<double> number(const std::string& text) {
-  double value = 0;
-  const char* end = text.data() + text.size();
-  const auto [stopped, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc{} || stopped != end || !std::isfinite(value)) return std::nullopt;
-  return value;
-}
-
-template <typename T>
-std::optional<T> integer(const std::string& text, int base = 10) {
-  T value = 0;
-  const char* end = text.data() + text.size();
-  const auto [stopped, error] = std::from_chars(text.data(), end, value, base);
-  if (error != std::errc{} || stopped != end) return std::nullopt;
-  return value;
-}
-
-constexpr std::size_t hex_size = 16;
-constexpr double most_ram_kb = 2000;
-constexpr std::int64_t longest_wait_ms = 600000;  // a door beyond this is a wrong clock
-
-// The fields of one request, checked. Throws the name of the first that is missing or wrong.
-struct field_error {
-  const char* name;
-};
-
-const std::string& field(const field_map& fields, const char* name) {
-  const auto found = fields.find(name);
-  if (found == fields.end()) throw field_error{name};
-  return found->second;
-}
-
-std::uint64_t hex_field(const std::string& text, const char* name) {
-  const auto value = integer<std::uint64_t>(text, 16);
-  if (!value || text.size() != hex_size) throw field_error{name};
-  return *value;
-}
-
-double number_field(const field_map& fields, const char* name, double least, double under) {
-  const auto value = number(field(fields, name));
-  if (!value || *value < least || *value >= under) throw field_error{name};
-  return *value;
-}
-
-unsigned index_field(const field_map& fields, const char* name,
-                     const std::unordered_map<std::string, unsigned>& known) {
-  const auto found = known.find(field(fields, name));
-  if (found == known.end()) throw field_error{name};
-  return found->second;
-}
-
-}  // namespace
-
 server::server(net::reactor& r, const config& settings, dispatcher& d, backend& b,
                telemetry::counters& counters)
     : reactor_(r),
@@ -172,11 +117,9 @@
       dispatcher_(d),
       backend_(b),
       counters_(counters),
+      names_(settings.settings),
       listener_(r, settings.listen.host, settings.listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
-  const wrenrill::settings& s = settings.settings;
-  for (unsigned i = 0; i < s.classes.size(); ++i) classes_.emplace(s.classes[i].name, i);
-  for (unsigned i = 0; i < s.tenants.size(); ++i) tenants_.emplace(s.tenants[i].name, i);
   d.add(*this);
 }
 
@@ -196,33 +139,13 @@
 void server::read(connection& from, const execute& what, std::int32_t seqid) {
   request r;
   try {
-    r.label = field(what.fields, "txn");
-    hex_field(r.label, "txn");
-    r.request_class = index_field(what.fields, "verb", classes_);
-    r.tenant = tenants_.empty() ? 0 : index_field(what.fields, "team", tenants_);
-    const auto caller = integer<unsigned>(field(what.fields, "lb"));
-    if (!caller) throw field_error{"lb"};
-    r.caller = *caller;
-    const auto door = integer<std::int64_t>(field(what.fields, "door"));
-    if (!door || *door < 0) throw field_error{"door"};
-    // A door in the future is another clock that runs ahead: as if it had just come.
-    r.waited = std::chrono::milliseconds(
-        std::clamp<std::int64_t>(net::unix_ms() - *door, 0, longest_wait_ms));
-    constexpr double most_ms = 1e7;
-    r.work = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(number_field(what.fields, "cpu", 0, most_ms)));
-    r.held_kb = number_field(what.fields, "ram", 0, most_ram_kb);
-    if (r.held_kb <= 0) throw field_error{"ram"};
-    r.rank = number_field(what.fields, "standing", 0, 1);
-    if (const auto item = what.fields.find("item"); item != what.fields.end())
-      r.subject = hex_field(item->second, "item");
-  } catch (const field_error& e) {
+    r = to_request(what, names_, net::unix_ms());
+  } catch (const bad_field& e) {
     ++counters_.bad_requests;
-    log("bad-request", "field %s is missing or wrong", e.name);
+    log("bad-request", "field %s is missing or wrong", e.what());
     from.send(encode_internal(seqid, {}));
     return;
   }
-  r.payload = what.body;
   const request_id id = dispatcher_.on_arrival(*this, backend_, std::move(r));
   from.open_.emplace(seqid, id);
   open_.emplace(id, open_request{&from, seqid});
--- a/src/thrift/front.hpp
+++ b/src/thrift/front.hpp
@@ -7,6 +7,7 @@
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
+#include "core/vocabulary.hpp"
 #include "net/listener.hpp"
 #include "net/stream.hpp"
 #include "thrift/codec.hpp"
@@ -47,8 +48,7 @@
   telemetry::counters& counters_;
   connections connections_;
   std::unordered_map<request_id, open_request> open_;
-  std::unordered_map<std::string, unsigned> classes_;
-  std::unordered_map<std::string, unsigned> tenants_;
+  vocabulary names_;
   net::listener listener_;
   duration idle_after_{};
   time_point next_sweep_{};
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -1,8 +1,9 @@
 #include "uwsgi/front.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
+#include <utility>
+
+#include "uwsgi/request.hpp"
 
 namespace marblewharf::uwsgi {
 
@@ -49,25 +50,6 @@
   }
 }
 
-namespace {
-
-unsigned to_index(const packet& p, const var_mapping& m, const auto& known) {
-  const auto given = p.find(m.var);
-  if (!given) throw bad_packet(400, "no var " + m.var);
-  std::string_view name = *given;
-  if (!m.values.empty()) {
-    const auto meant = m.values.find(name);
-    if (meant == m.values.end()) throw bad_packet(400, "an unknown value of " + m.var);
-    name = meant->second;
-  }
-  for (unsigned i = 0; i < known.size(); ++i) {
-    if (known[i].name == name) return i;
-  }
-  throw bad_packet(400, "an unknown value of " + m.var);
-}
-
-}  // namespace
-
 server::server(net::reactor& r, const config& settings, dispatcher& d, backend& b,
                telemetry::counters& counters)
     : reactor_(r),
@@ -75,6 +57,7 @@
       dispatcher_(d),
       backend_(b),
       counters_(counters),
+      names_(settings.settings),
       listener_(r, settings.uwsgi->listen.host, settings.uwsgi->listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
   d.add(*this);
@@ -93,20 +76,7 @@
 }
 
 request_id server::read(const packet& p) {
-  const uwsgi_config& c = *config_.uwsgi;
-  request r;
-  r.request_class = to_index(p, c.request_class, config_.settings.classes);
-  if (!config_.settings.tenants.empty()) r.tenant = to_index(p, c.tenant, config_.settings.tenants);
-  double cost_ms = c.default_cost[r.request_class];
-  if (const auto given = p.find(c.cost.var); given && !given->empty()) {
-    const char* end = given->data() + given->size();
-    if (std::from_chars(given->data(), end, cost_ms).ptr != end || !(cost_ms >= 0 && cost_ms < 1e7))
-      throw bad_packet(400, "a value of " + c.cost.var + " that is no cost");
-  }
-  r.work = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(cost_ms));
-  r.held_kb = c.held_kb;
-  r.payload = p.whole;
-  return dispatcher_.on_arrival(*this, backend_, std::move(r));
+  return dispatcher_.on_arrival(*this, backend_, to_request(p, *config_.uwsgi, names_));
 }
 
 void server::respond(request_id id, const answer& final) {
--- a/src/uwsgi/front.hpp
+++ b/src/uwsgi/front.hpp
@@ -8,6 +8,7 @@
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
+#include "core/vocabulary.hpp"
 #include "net/listener.hpp"
 #include "net/stream.hpp"
 #include "uwsgi/packet.hpp"
@@ -43,6 +44,7 @@
   telemetry::counters& counters_;
   std::list<std::shared_ptr<connection>> connections_;
   std::unordered_map<request_id, connection*> open_;
+  vocabulary names_;
   net::listener listener_;
   time_point next_sweep_{};
 };
--- a/tests/embedding/run.cmake
+++ b/tests/embedding/run.cmake
@@ -5,5 +5,5 @@
         "${CMAKE_COMMAND};-S;${SOURCE};-B;${WORK}/build;-DCMAKE_PREFIX_PATH=${WORK}/prefix;-DCMAKE_CXX_FLAGS=${FLAGS}"
         "${CMAKE_COMMAND};--build;${WORK}/build"
         "${WORK}/build/embedding")
-  execute_process(COMMAND ${command} COMMAND_ERROR_IS_FATAL ANY)
+  execute_process(COMMAND ${command} INPUT_FILE /dev/null COMMAND_ERROR_IS_FATAL ANY)
 endforeach()
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -208,6 +208,7 @@
   int write_aim_ms = 20000;
   int quota = 100, other_quota = 100;  // requests a second of isar-invest and lech-vermoegen
   std::string uwsgi{};  // text of an operator's file
+  std::string record{};  // a capture file to write
   std::string edit_from{}, edit_to{};  // in the text of the configuration
   bool start = true;
 };
@@ -230,12 +231,13 @@
       const int log = ::open((dir_ + "/log").c_str(), O_CREAT | O_WRONLY, 0600);
       ::dup2(log, 2);
       ::setenv("PROXY_CONFIG", (dir_ + "/config.json").c_str(), 1);
-      if (o.uwsgi.empty()) {
-        ::execl(MARBLEWHARF, "marblewharf", static_cast<char*>(nullptr));
-      } else {
-        ::execl(MARBLEWHARF, "marblewharf", "--uwsgi", (dir_ + "/uwsgi.json").c_str(),
-                static_cast<char*>(nullptr));
-      }
+      std::vector<std::string> words = {"marblewharf"};
+      if (!o.uwsgi.empty()) words.insert(words.end(), {"--uwsgi", dir_ + "/uwsgi.json"});
+      if (!o.record.empty()) words.insert(words.end(), {"--record", o.record});
+      std::vector<char*> arguments;
+      for (std::string& w : words) arguments.push_back(w.data());
+      arguments.push_back(nullptr);
+      ::execv(MARBLEWHARF, arguments.data());
       ::_exit(127);
     }
   }
--- /dev/null
+++ b/tests/net/middleware_test.cpp
@@ -0,0 +1,99 @@
+// The example server as a process, behind the middleware, under more callers than it can serve.
+#include <map>
+#include <mutex>
+
+#include "harness.hpp"
+
+using namespace harness;
+
+namespace {
+
+class example {
+ public:
+  example() {
+    int in[2], out[2];
+    CHECK(::pipe2(in, O_CLOEXEC) == 0 && ::pipe2(out, O_CLOEXEC) == 0);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      ::dup2(in[0], 0);
+      ::dup2(out[1], 1);
+      ::execl(EXAMPLE, "guarded_server", static_cast<char*>(nullptr));
+      ::_exit(127);
+    }
+    ::close(in[0]);
+    ::close(out[1]);
+    stdin_ = in[1];
+    stdout_ = ::fdopen(out[0], "r");
+    CHECK(std::fscanf(stdout_, "%d", &port) == 1);
+  }
+  ~example() {
+    std::fclose(stdout_);
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  // Ends it; the line that it leaves.
+  std::string end() {
+    ::close(stdin_);
+    char line[256] = "";
+    do {
+      CHECK(std::fgets(line, sizeof line, stdout_) != nullptr);
+    } while (line[0] == 0x0a);  // the end of the line with the port
+    return line;
+  }
+  std::string get(const std::string& path) const {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a = address_of(port);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK(::connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+    connection c(fd);
+    c.send("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    return c.rest();
+  }
+  int port = 0;
+
+ private:
+  pid_t pid_;
+  int stdin_;
+  FILE* stdout_;
+};
+
+void serves_and_reports() {
+  example e;
+  CHECK(e.get("/kurs").find("101.42") != std::string::npos);
+  CHECK(e.get("/broken").find(" 500 ") != std::string::npos);
+  CHECK(e.end().find("taken_in=2 started=2 served=1 refused=0 failed=1") == 0);
+}
+
+// Guards against a crowd that nobody turns away, and against answers that never come.
+void turns_away_what_cannot_be_in_time() {
+  example e;
+  std::mutex guard;
+  std::map<std::string, int> seen;
+  int advised = 0;
+  std::vector<std::thread> callers;
+  constexpr int crowd = 40;  // two cores serve ten in the aim of 500 ms
+  for (int i = 0; i < crowd; ++i) {
+    callers.emplace_back([&] {
+      const std::string response = e.get("/kurs");
+      const std::lock_guard lock(guard);
+      ++seen[response.substr(9, 3)];
+      advised += response.find("Retry-After: 1") != std::string::npos;
+    });
+  }
+  for (std::thread& t : callers) t.join();
+  CHECK(seen["200"] > 0 && seen["503"] > 0 && seen["200"] + seen["503"] + seen["504"] == crowd);
+  CHECK(advised == seen["503"]);
+  CHECK(e.get("/kurs").find("101.42") != std::string::npos);  // and goes on
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {
+      {"served", serves_and_reports},
+      {"crowd", turns_away_what_cannot_be_in_time},
+  };
+  tests.at(argv[1])();
+  return 0;
+}
