Fire no timer before its time; send the time to come back with what is given up

Seen: a unit test of the dispatcher got no answer for a run past its aim. Traced: admission began with its timer due at once, so the module's first timer fired at 0 instead of 100 ms; the module keeps one timer and sets no other until that one has passed, so none ever came again. At fault: due_(opened) in src/core/admission.cpp. Ruled out: the module, whose own tests wait for its timers.

--- a/examples/guarded_server.cpp
+++ b/examples/guarded_server.cpp
@@ -17,7 +17,8 @@
 
 class price : public Poco::Net::HTTPRequestHandler {
  public:
-  void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
     std::this_thread::sleep_for(100ms);  // stands for the work
     if (request.getURI() == "/broken") {
       response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
@@ -56,7 +57,8 @@
   params->setMaxThreads(64);  // those that wait at the gate included
   Poco::Net::HTTPServer server(
       new marblewharf::middleware::handler_factory(
-          new prices, gate, [](const Poco::Net::HTTPServerRequest&) { return marblewharf::middleware::traits{}; }),
+          new prices, gate,
+          [](const Poco::Net::HTTPServerRequest&) { return marblewharf::middleware::traits{}; }),
       socket, params);
   server.start();
   std::printf("%d\n", static_cast<int>(socket.address().port()));
--- a/include/marblewharf/middleware.hpp
+++ b/include/marblewharf/middleware.hpp
@@ -1,6 +1,6 @@
-// Admission in front of the handlers of a Poco::Net::HTTPServer. A request waits here until the decision module
-// lets it run, then the wrapped handler runs in the server's own thread; what is turned away is answered 503
-// with Retry-After, what waited past its time 504.
+// Admission in front of the handlers of a Poco::Net::HTTPServer. A request waits here until the decision
+// module lets it run, then the wrapped handler runs in the server's own thread; what is turned away is
+// answered 503 with Retry-After, what waited past its time 504.
 #pragma once
 
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -19,7 +19,7 @@
 struct traits {
   unsigned request_class = 0;  // its place in the settings
   unsigned tenant = 0;
-  double held_kb = 0;  // memory that it takes while it waits
+  double held_kb = 0;               // memory that it takes while it waits
   std::chrono::nanoseconds work{};  // expected, on one core; 0 = not known
 };
 using classifier = std::function<traits(const Poco::Net::HTTPServerRequest&)>;
--- a/include/wrenrill/policy.hpp
+++ b/include/wrenrill/policy.hpp
@@ -114,8 +114,8 @@
 };
 using event = std::variant<arrival, completion, departure, call_needed, call_ended, notice, timer_fired>;
 
-// Actions, to be applied in order. The policy uses skip_call only where an answer without the call keeps worth
-// (worth_without).
+// Actions, to be applied in order. The policy uses skip_call only where an answer without the call keeps
+// worth (worth_without).
 struct start {
   request_id id{};
 };
@@ -129,6 +129,7 @@
 };  // it never ran
 struct fail {
   request_id id{};
+  duration stay_away{};
 };  // no assurance
 struct place_call {
   request_id id{};
--- a/src/catalog/reporter.cpp
+++ b/src/catalog/reporter.cpp
@@ -9,9 +9,7 @@
 namespace marblewharf::catalog {
 
 reporter::reporter(const config& settings)
-    : config_(settings),
-      to_(settings.directory.host, settings.directory.port),
-      socket_(to_.family()) {
+    : config_(settings), to_(settings.directory.host, settings.directory.port), socket_(to_.family()) {
   socket_.setBlocking(false);
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -130,7 +130,8 @@
 template <typename T>
 var_mapping mapping_of(const json::value& all, const std::string& key, const std::vector<T>& known) {
   const json::value* given = member(all, key);
-  if (given == nullptr || given->what != json::kind::object) throw bad_config(key + " is missing or no object");
+  if (given == nullptr || given->what != json::kind::object)
+    throw bad_config(key + " is missing or no object");
   var_mapping m;
   try {
     m.var = text_of(*given, "var");
@@ -140,7 +141,8 @@
   const json::value* values = member(*given, "values");
   if (values == nullptr) return m;
   for (const auto& [value, name] : values->members) {
-    const bool found = std::any_of(known.begin(), known.end(), [&](const T& k) { return k.name == name.text; });
+    const bool found =
+        std::any_of(known.begin(), known.end(), [&](const T& k) { return k.name == name.text; });
     if (!found) throw bad_config(key + ".values." + value + " names nothing in the settings: " + name.text);
     m.values.emplace(value, name.text);
   }
@@ -198,6 +200,14 @@
   return c;
 }
 
+void turn_on_uwsgi(config& c, uwsgi_config mapping) {
+  // A quarter for its callers and a quarter for what runs on its servers; Thrift keeps the half that
+  // balancers open at the most.
+  c.bounds.uwsgi_connections = c.bounds.connections / 4;
+  c.bounds.connections -= 2 * c.bounds.uwsgi_connections;
+  c.uwsgi = std::move(mapping);
+}
+
 std::string read_file(const char* path, const char* what) {
   std::ifstream file(path);
   std::ostringstream text;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <cstdint>
-#include <stdexcept>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -55,6 +55,9 @@
 // Reads the text of a configuration file.
 config read_config(const std::string& text);
 
+// Turns the second front on: part of the connections are its own from then on.
+void turn_on_uwsgi(config& c, uwsgi_config mapping);
+
 // Reads the text of an operator's uwsgi file; names of classes and tenants are those of the settings.
 uwsgi_config read_uwsgi(const std::string& text, const wrenrill::settings& settings);
 
--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -16,18 +16,23 @@
   std::size_t fields = 32;           // of a request
   std::size_t runtime_line = 16384;  // a result in base64 and its envelope
   unsigned open_each_connection = 32;
-  std::size_t uwsgi_vars = 4096;   // of one packet
-  std::size_t response_head = 8192;  // of a uwsgi server's response
+  std::size_t uwsgi_vars = 4096;                   // of one packet
+  std::size_t response_head = 8192;                // of a uwsgi server's response
   duration half_frame = std::chrono::seconds(10);  // a frame that was begun is whole within this
 
   // What this process holds.
   std::size_t connections = 900;  // of the descriptors, less what the program needs itself
-  std::size_t write_buffer = std::size_t{256} << 10;
+  std::size_t uwsgi_connections =
+      240;            // as many again may go to uwsgi servers: a flood leaves Thrift its own
+  int backlog = 512;  // connections that wait while this process is stalled
+  // For each connection: the answers to all requests that may be open on it, and all connections together
+  // stay well under the memory of a node.
+  std::size_t write_buffer = std::size_t{144} << 10;
   std::size_t read_chunk = std::size_t{16} << 10;
-  std::size_t record = std::size_t{64} << 20;           // of a capture file that is written
-  std::size_t capture_flows = 4096;                     // connections followed in one that is read
+  std::size_t record = std::size_t{64} << 20;            // of a capture file that is written
+  std::size_t capture_flows = 4096;                      // connections followed in one that is read
   std::size_t capture_waiting = std::size_t{256} << 10;  // bytes kept behind a hole in one of them
-  unsigned log_lines = 5;  // of one word in a second
+  unsigned log_lines = 5;                                // of one word in a second
 
   // Times.
   duration stop = std::chrono::milliseconds(3200);          // from the notice to leave to the kill
@@ -37,7 +42,8 @@
   duration report_every = std::chrono::milliseconds(500);   // to the catalog, which forgets after 3 s
   duration gauges_every = std::chrono::milliseconds(50);    // the module's window is 100 ms
   duration gauges_stale = std::chrono::milliseconds(1000);  // after this they say nothing
-  duration linger = std::chrono::seconds(2);  // for a caller to close after its answer
+  duration same_start = std::chrono::seconds(1);  // two looks at one start of the runtime differ by less
+  duration linger = std::chrono::seconds(2);      // for a caller to close after its answer
   duration reconnect_every = std::chrono::milliseconds(100);
 };
 
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -27,7 +27,7 @@
 }  // namespace
 
 admission::admission(wrenrill::settings settings, std::uint64_t seed, time_point opened)
-    : policy_(settings, seed, opened), writes_(writes_of(settings)), due_(opened) {
+    : policy_(settings, seed, opened), writes_(writes_of(settings)), due_(time_point::max()) {
   take(policy_.handle(opened, {}), opened);
 }
 
@@ -62,6 +62,8 @@
 }
 
 void admission::tick(time_point now, std::span<const double> gauges) {
+  // The module knows of one timer and sets no other before it fired: one that fires too early is lost to it, and
+  // with it every later one. Guards against a node that was started cold and only acts when something comes in.
   if (now >= due_) {
     due_ = time_point::max();
     pending_.emplace_back(wrenrill::timer_fired{{gauges.begin(), gauges.end()}});
@@ -90,7 +92,7 @@
       decisions_.emplace_back(refuse{r->id, r->stay_away, r->not_elsewhere});
       begun_.erase(r->id);
     } else if (const auto* f = std::get_if<wrenrill::fail>(&a)) {
-      decisions_.emplace_back(fail{f->id});
+      decisions_.emplace_back(fail{f->id, f->stay_away});
     } else if (const auto* h = std::get_if<wrenrill::set_health>(&a)) {
       decisions_.emplace_back(health{h->good});
     } else if (const auto* c = std::get_if<wrenrill::close_idle>(&a)) {
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -1,5 +1,5 @@
-// The decision module in blocking style: report() what happened, tick() as time goes by, and pick() what to do
-// next until there is nothing. Its events and actions end here.
+// The decision module in blocking style: report() what happened, tick() as time goes by, and pick() what to
+// do next until there is nothing. Its events and actions end here.
 #pragma once
 
 #include <deque>
@@ -47,6 +47,7 @@
 };
 struct fail {
   request_id id{};
+  duration retry_after{};
 };
 struct health {
   bool good = true;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -109,7 +109,7 @@
   if (at == table_.end()) return;
   const bool over = !at->second.started || at->second.to == nullptr;
   if (!at->second.answered && at->second.to != nullptr) ++counters_.given_up;
-  conclude(at, {.how = verdict::failed, .overdue = at->second.to != nullptr});
+  conclude(at, {.how = verdict::failed, .retry_after = d.retry_after, .overdue = at->second.to != nullptr});
   if (over) table_.erase(at);
 }
 
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -40,7 +40,7 @@
 struct answer {
   verdict how = verdict::failed;
   std::string_view result{};   // where served
-  duration retry_after{};    // 0 = no advice
+  duration retry_after{};      // 0 = no advice
   bool not_elsewhere = false;  // where refused: no other server would do better
   bool overdue = false;        // where failed: given up for lack of time
 };
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -24,7 +24,8 @@
     throw bad_json("at byte " + std::to_string(at_) + ": " + why);
   }
   void skip_space() {
-    while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos) ++at_;
+    while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos)
+      ++at_;
   }
   char peek() const { return at_ < text_.size() ? text_[at_] : '\0'; }
   bool accept(char c) {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -169,6 +169,7 @@
   bool slow_here() const;
   bool overloaded_everywhere();
   double wait_ahead() const;
+  duration advice() const { return std::min(set_.max_retry_after, from_seconds(wait_ahead() / 2)); }
   void watch_progress();
   void progress();
   bool unlinked_twin(const request& r, const arrival& a);
@@ -510,7 +511,7 @@
     progress();
     if (speed() >= 1) ++runs_done_;
   }
-  if (c.result == outcome::cancelled && !r.answered) act(fail{r.id});
+  if (c.result == outcome::cancelled && !r.answered) act(fail{r.id, advice()});
   erase(r);
 }
 
@@ -878,7 +879,7 @@
   if (draining_) {
     a.stay_away = set_.max_retry_after;
   } else {
-    a.stay_away = std::min(set_.max_retry_after, from_seconds(wait_ahead() / 2));
+    a.stay_away = advice();
     a.not_elsewhere = no_use || overloaded_everywhere() ||
                       r.useful_until <= now_;  // where its aim has gone by: no use elsewhere
   }
@@ -900,7 +901,8 @@
 
 // Answers with a failure a request that may have run, and stops its run.
 void policy::impl::give_up(request& r) {
-  act(fail{r.id});
+  act(fail{r.id,
+           draining_ ? set_.max_retry_after : std::max(advice(), std::min(window, set_.max_retry_after))});
   r.answered = true;
   release(r);
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -107,7 +107,7 @@
     std::optional<pcap::recorder> recorder;
     for (int i = 1; i < argc; i += 2) {
       if (i + 1 < argc && std::strcmp(argv[i], "--uwsgi") == 0) {
-        settings.uwsgi = read_uwsgi(read_file(argv[i + 1], "the uwsgi file"), settings.settings);
+        turn_on_uwsgi(settings, read_uwsgi(read_file(argv[i + 1], "the uwsgi file"), settings.settings));
       } else if (i + 1 < argc && std::strcmp(argv[i], "--record") == 0) {
         recorder.emplace(argv[i + 1], settings.bounds.record);
       } else {
--- a/src/middleware/middleware.cpp
+++ b/src/middleware/middleware.cpp
@@ -145,8 +145,8 @@
     while (!stopping_) {
       step();
       changed_.notify_all();
-      const duration wait = std::clamp<duration>(dispatcher_.due() - steady_now(), std::chrono::milliseconds(1),
-                                                 std::chrono::milliseconds(100));
+      const duration wait = std::clamp<duration>(
+          dispatcher_.due() - steady_now(), std::chrono::milliseconds(1), std::chrono::milliseconds(100));
       changed_.wait_for(lock, wait);
     }
   }
@@ -157,8 +157,8 @@
   double cores_;
   std::vector<std::string> gauges_;
   dispatcher dispatcher_;
-  std::unordered_map<request_id, visit*> visits_;    // that wait
-  std::unordered_map<request_id, bool> given_up_;    // that run
+  std::unordered_map<request_id, visit*> visits_;  // that wait
+  std::unordered_map<request_id, bool> given_up_;  // that run
   double busy_ = 1;  // until it was measured: the module then adds no run beyond the cores
   std::clock_t measured_ = std::clock();
   time_point measured_at_ = steady_now();
@@ -181,7 +181,8 @@
 
 namespace {
 
-void respond(Poco::Net::HTTPServerResponse& response, HTTPResponse::HTTPStatus status, duration retry_after = {}) {
+void respond(Poco::Net::HTTPServerResponse& response, HTTPResponse::HTTPStatus status,
+             duration retry_after = {}) {
   response.setStatusAndReason(status);
   response.setContentType("text/plain");
   // Whole seconds, as HTTP has it, and at least one: 0 would ask for a retry at once.
@@ -198,7 +199,8 @@
   guarded(std::unique_ptr<Poco::Net::HTTPRequestHandler> wrapped, gate& g, const traits& t)
       : wrapped_(std::move(wrapped)), gate_(g), traits_(t) {}
 
-  void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
     gate::impl& inside = gate_.internals();
     const gate::impl::visit v = inside.enter(traits_);
     if (v.where == gate::impl::state::refused) {
@@ -227,10 +229,12 @@
 
 }  // namespace
 
-handler_factory::handler_factory(Poco::Net::HTTPRequestHandlerFactory::Ptr wrapped, gate& g, classifier classify)
+handler_factory::handler_factory(Poco::Net::HTTPRequestHandlerFactory::Ptr wrapped, gate& g,
+                                 classifier classify)
     : wrapped_(std::move(wrapped)), gate_(g), classify_(std::move(classify)) {}
 
-Poco::Net::HTTPRequestHandler* handler_factory::createRequestHandler(const Poco::Net::HTTPServerRequest& request) {
+Poco::Net::HTTPRequestHandler* handler_factory::createRequestHandler(
+    const Poco::Net::HTTPServerRequest& request) {
   std::unique_ptr<Poco::Net::HTTPRequestHandler> wrapped(wrapped_->createRequestHandler(request));
   if (!wrapped) return nullptr;  // the server says 501 to what nobody handles
   const traits t = classify_(request);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -9,13 +9,12 @@
 
 namespace marblewharf::net {
 
-constexpr int backlog = 512;  // connections that wait while this process is stalled
-
-listener::listener(reactor& r, const std::string& host, std::uint16_t port, handler accepted)
+listener::listener(reactor& r, const limits& bounds, const std::string& host, std::uint16_t port,
+                   handler accepted)
     : reactor_(r), accepted_(std::move(accepted)) {
   try {
     socket_.bind(Poco::Net::SocketAddress(host, port), true);
-    socket_.listen(backlog);
+    socket_.listen(bounds.backlog);
   } catch (const Poco::Exception& e) {
     throw std::runtime_error("listen: " + host + ":" + std::to_string(port) + ": " + e.displayText());
   }
@@ -24,6 +23,7 @@
 }
 
 listener::~listener() {
+  accepted_ = [](const Poco::Net::StreamSocket&) {};  // its owner is on its way out
   close();
 }
 
@@ -33,6 +33,9 @@
   reactor_.removeEventHandler(
       socket_, Poco::NObserver<listener, Poco::Net::ReadableNotification>(*this, &listener::on_readable));
   try {
+    // Guards against requests lost on connections that the system accepted and nobody has taken yet.
+    while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+      accepted_(socket_.acceptConnection());
     socket_.close();
   } catch (const Poco::Exception&) {  // it is gone either way
   }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -18,7 +18,7 @@
   using handler = std::function<void(const Poco::Net::StreamSocket&)>;
 
   // Throws std::runtime_error naming the address that cannot be listened on.
-  listener(reactor& r, const std::string& host, std::uint16_t port, handler accepted);
+  listener(reactor& r, const limits& bounds, const std::string& host, std::uint16_t port, handler accepted);
   ~listener();
   listener(const listener&) = delete;
   listener& operator=(const listener&) = delete;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -1,4 +1,5 @@
-// One TCP connection in the reactor: reads as it comes, writes at once and keeps the rest in a bounded buffer.
+// One TCP connection in the reactor: reads as it comes, writes at once and keeps the rest in a bounded
+// buffer.
 #pragma once
 
 #include <Poco/AutoPtr.h>
--- a/src/pcap/main.cpp
+++ b/src/pcap/main.cpp
@@ -52,17 +52,28 @@
     const std::string option = argv[i];
     if (i + 1 == argc) throw usage(option + " wants a value");
     const std::string value = argv[i + 1];
-    if (option == "--class") c.select.request_class = value;
-    else if (option == "--tenant") c.select.tenant = value;
-    else if (option == "--protocol") c.select.protocol = value;
-    else if (option == "--from") c.select.from_s = to_number(value, option, 1e12);
-    else if (option == "--to") c.select.to_s = to_number(value, option, 1e12);
-    else if (option == "--out") c.out = value;
-    else if (option == "--config") c.config = value;
-    else if (option == "--uwsgi") c.mapping = value;
-    else if (option == "--thrift-port") c.read.thrift_port = static_cast<std::uint16_t>(to_number(value, option, 65535));
-    else if (option == "--uwsgi-port") c.read.uwsgi_port = static_cast<std::uint16_t>(to_number(value, option, 65535));
-    else throw usage("no option: " + option);
+    if (option == "--class")
+      c.select.request_class = value;
+    else if (option == "--tenant")
+      c.select.tenant = value;
+    else if (option == "--protocol")
+      c.select.protocol = value;
+    else if (option == "--from")
+      c.select.from_s = to_number(value, option, 1e12);
+    else if (option == "--to")
+      c.select.to_s = to_number(value, option, 1e12);
+    else if (option == "--out")
+      c.out = value;
+    else if (option == "--config")
+      c.config = value;
+    else if (option == "--uwsgi")
+      c.mapping = value;
+    else if (option == "--thrift-port")
+      c.read.thrift_port = static_cast<std::uint16_t>(to_number(value, option, 65535));
+    else if (option == "--uwsgi-port")
+      c.read.uwsgi_port = static_cast<std::uint16_t>(to_number(value, option, 65535));
+    else
+      throw usage("no option: " + option);
   }
   if (c.what == "filter" && c.out.empty()) throw usage("filter wants --out FILE");
   if (c.mapping && !c.config) throw usage("--uwsgi names classes of a --config FILE");
@@ -146,8 +157,8 @@
         if (!selected(c.select, found, names)) return;
         if (c.what == "list") list(found, names);
         if (out) out->add(found);
-        totals& t = sums[std::string(name_of(found.from)) + " " + names.classes[found.what.request_class] + " " +
-                         tenant_name(found, names)];
+        totals& t = sums[std::string(name_of(found.from)) + " " + names.classes[found.what.request_class] +
+                         " " + tenant_name(found, names)];
         ++t.requests;
         t.work_ms += work_ms(found.what);
         t.bytes += found.bytes.size();
@@ -158,12 +169,12 @@
   if (out) out->finish();
   if (c.what == "summary") {
     for (const auto& [key, t] : sums)
-      std::printf("%s requests=%" PRIu64 " work_ms=%.1f bytes=%" PRIu64 "\n", key.c_str(), t.requests, t.work_ms,
-                  t.bytes);
+      std::printf("%s requests=%" PRIu64 " work_ms=%.1f bytes=%" PRIu64 "\n", key.c_str(), t.requests,
+                  t.work_ms, t.bytes);
     std::printf("span_s=%.3f packets=%" PRIu64 " other=%" PRIu64 " repeated=%" PRIu64 " reordered=%" PRIu64
                 " gaps=%" PRIu64 " malformed=%" PRIu64 " undecodable=%" PRIu64 "\n",
-                static_cast<double>(last_us - first_us) / us_each_s, counts.packets, counts.other, counts.repeated,
-                counts.reordered, counts.gaps, counts.malformed, counts.undecodable);
+                static_cast<double>(last_us - first_us) / us_each_s, counts.packets, counts.other,
+                counts.repeated, counts.reordered, counts.gaps, counts.malformed, counts.undecodable);
   }
   return counts.malformed + counts.undecodable > 0 ? skipped_some : 0;
 }
@@ -174,12 +185,13 @@
   try {
     return run(read_arguments(argc, argv));
   } catch (const usage& e) {
-    std::fprintf(stderr,
-                 "marblewharf_pcap: %s\n"
-                 "usage: marblewharf_pcap list|summary|filter FILE [--class NAME] [--tenant NAME]\n"
-                 "       [--protocol thrift|uwsgi] [--from UNIX_S] [--to UNIX_S] [--thrift-port N] [--uwsgi-port N]\n"
-                 "       [--config FILE [--uwsgi FILE]] [--out FILE]\n",
-                 e.what());
+    std::fprintf(
+        stderr,
+        "marblewharf_pcap: %s\n"
+        "usage: marblewharf_pcap list|summary|filter FILE [--class NAME] [--tenant NAME]\n"
+        "       [--protocol thrift|uwsgi] [--from UNIX_S] [--to UNIX_S] [--thrift-port N] [--uwsgi-port N]\n"
+        "       [--config FILE [--uwsgi FILE]] [--out FILE]\n",
+        e.what());
     return usage_error;
   } catch (const std::exception& e) {
     std::fprintf(stderr, "marblewharf_pcap: %s\n", e.what());
--- a/src/pcap/reader.cpp
+++ b/src/pcap/reader.cpp
@@ -303,7 +303,8 @@
                   {reinterpret_cast<const char*>(data), header->caplen});
   }
   if (got == PCAP_ERROR)
-    throw bad_capture(path + ": packet " + std::to_string(reader.counts.packets + 1) + ": " + pcap_geterr(file.get()));
+    throw bad_capture(path + ": packet " + std::to_string(reader.counts.packets + 1) + ": " +
+                      pcap_geterr(file.get()));
   reader.end();
   return reader.counts;
 }
--- a/src/pcap/reader.hpp
+++ b/src/pcap/reader.hpp
@@ -22,9 +22,9 @@
 
 struct captured {
   protocol from{};
-  std::int64_t unix_us = 0;     // when its last byte was seen
-  std::uint64_t packet = 0;     // the number of that packet, from 1
-  std::string caller, server;   // address and port
+  std::int64_t unix_us = 0;    // when its last byte was seen
+  std::uint64_t packet = 0;    // the number of that packet, from 1
+  std::string caller, server;  // address and port
   request what;
   std::string bytes;  // of the whole message, as it went
 };
--- a/src/pcap/recorder.cpp
+++ b/src/pcap/recorder.cpp
@@ -19,7 +19,8 @@
 }
 
 void recorder::on_written(const void* which, std::string_view bytes) {
-  if (const auto at = open_.find(which); at != open_.end()) writer_.answered(at->second, bytes, net::unix_us());
+  if (const auto at = open_.find(which); at != open_.end())
+    writer_.answered(at->second, bytes, net::unix_us());
 }
 
 void recorder::on_close(const void* which) {
--- a/src/pcap/writer.cpp
+++ b/src/pcap/writer.cpp
@@ -20,7 +20,8 @@
 constexpr unsigned ack_flag = 16;
 
 void put(std::string& out, std::uint32_t value, int bytes) {
-  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xff));
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>(value >> shift & 0xff));
 }
 
 // The Internet checksum over the sum of what came before.
@@ -58,8 +59,10 @@
     const bool right = i == 4 ? stopped == end && part <= 65535
                               : stopped != end && *stopped == (i == 3 ? ':' : '.') && part <= 255;
     if (error != std::errc{} || !right) throw write_failed("no IPv4 address and port: " + text);
-    if (i < 4) a.host = a.host << 8 | part;
-    else a.port = static_cast<std::uint16_t>(part);
+    if (i < 4)
+      a.host = a.host << 8 | part;
+    else
+      a.port = static_cast<std::uint16_t>(part);
     at = stopped + 1;
   }
   return a;
@@ -81,7 +84,8 @@
 
 conversation writer::open(address caller, address server, std::int64_t unix_us) {
   // Numbers of their own, so that a pair of addresses used again starts anew in the file.
-  conversation c{caller, server, static_cast<std::uint32_t>(unix_us), static_cast<std::uint32_t>(unix_us >> 8)};
+  conversation c{caller, server, static_cast<std::uint32_t>(unix_us),
+                 static_cast<std::uint32_t>(unix_us >> 8)};
   segment(c, true, syn_flag, {}, unix_us);
   ++c.sent;
   segment(c, false, syn_flag | ack_flag, {}, unix_us);
--- a/src/pcap/writer.hpp
+++ b/src/pcap/writer.hpp
@@ -1,5 +1,5 @@
-// Writes connections to a capture file that other tools open: IPv4 packets with checksums, a handshake, data in
-// segments and an end, for each connection.
+// Writes connections to a capture file that other tools open: IPv4 packets with checksums, a handshake, data
+// in segments and an end, for each connection.
 #pragma once
 
 #include <cstddef>
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -9,13 +9,6 @@
 
 using telemetry::log;
 
-namespace {
-
-// Two looks at one start of the runtime differ by the way of a message; a restart takes seconds.
-constexpr duration same_start = std::chrono::milliseconds(1000);
-
-}  // namespace
-
 class link::connection : public net::stream::owner {
  public:
   connection(link& l, const Poco::Net::SocketAddress& to)
@@ -60,8 +53,7 @@
 void link::send_start(call& c) {
   c.start = sent::on_its_way;
   c.fence = questions_ + 1;
-  say(
-      encode_start(c.label, config_.settings.classes[c.request_class].name, c.payload));
+  say(encode_start(c.label, config_.settings.classes[c.request_class].name, c.payload));
 }
 
 void link::pause(request_id id) {
@@ -155,7 +147,7 @@
 void link::on(const ready& n) {
   const time_point start = net::steady_now() - n.up;
   const bool first = runtime_start_.count() == 0;
-  const bool restarted = !first && start > runtime_start_ + same_start;
+  const bool restarted = !first && start > runtime_start_ + config_.bounds.same_start;
   log("runtime", "%s, up for %lld ms, %zu runs", n.starting ? "starting" : "running",
       static_cast<long long>(n.up / std::chrono::milliseconds(1)), calls_.size());
   runtime_start_ = start;
--- a/src/runtime/messages.cpp
+++ b/src/runtime/messages.cpp
@@ -34,7 +34,8 @@
   const std::string& digits = member(in, "serial", json::kind::number).text;
   std::uint64_t parsed = 0;
   const char* last = digits.data() + digits.size();
-  if (std::from_chars(digits.data(), last, parsed).ptr != last) throw bad_line("the field serial is no count");
+  if (std::from_chars(digits.data(), last, parsed).ptr != last)
+    throw bad_line("the field serial is no count");
   return parsed;
 }
 
@@ -75,7 +76,8 @@
   }
   if (msg == "load") {
     load l{text(all, "cookie"), {}};
-    for (const json::value& v : member(all, "stats", json::kind::array).items) l.stats.push_back(to_number(v));
+    for (const json::value& v : member(all, "stats", json::kind::array).items)
+      l.stats.push_back(to_number(v));
     return l;
   }
   if (msg == "nack") {
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -10,7 +10,8 @@
 
 namespace wrenrill {
 
-// `Classes.0.Name` -> value; a list of objects has its length under `.count`, plain lists are joined by commas.
+// `Classes.0.Name` -> value; a list of objects has its length under `.count`, plain lists are joined by
+// commas.
 using setting_paths = std::map<std::string, std::string, std::less<>>;
 
 // Throws std::invalid_argument naming the key that cannot be used; keys that are absent have defaults.
--- a/src/thrift/codec.hpp
+++ b/src/thrift/codec.hpp
@@ -62,7 +62,8 @@
 std::string encode_health(std::int32_t seqid, bool good);
 std::string encode_overloaded(std::int32_t seqid, const field_map& fields);
 std::string encode_internal(std::int32_t seqid, const field_map& fields);
-std::string encode_exception(std::int32_t seqid, std::string_view method, app_error why, std::string_view text);
+std::string encode_exception(std::int32_t seqid, std::string_view method, app_error why,
+                             std::string_view text);
 std::string encode_closing();
 
 }  // namespace marblewharf::thrift
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -118,7 +118,7 @@
       backend_(b),
       counters_(counters),
       names_(settings.settings),
-      listener_(r, settings.listen.host, settings.listen.port,
+      listener_(r, settings.bounds, settings.listen.host, settings.listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
   d.add(*this);
 }
@@ -159,7 +159,8 @@
   to.from->open_.erase(to.seqid);
   field_map fields;
   if (final.retry_after.count() > 0)
-    fields.emplace("later", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(final.retry_after).count()));
+    fields.emplace("later",
+                   std::to_string(std::chrono::ceil<std::chrono::milliseconds>(final.retry_after).count()));
   if (final.not_elsewhere) fields.emplace("giveup", "1");
   switch (final.how) {
     case verdict::served: to.from->send(encode_served(to.seqid, final.result)); break;
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -58,7 +58,7 @@
       backend_(b),
       counters_(counters),
       names_(settings.settings),
-      listener_(r, settings.uwsgi->listen.host, settings.uwsgi->listen.port,
+      listener_(r, settings.bounds, settings.uwsgi->listen.host, settings.uwsgi->listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
   d.add(*this);
 }
@@ -66,8 +66,7 @@
 server::~server() = default;
 
 void server::accept(const Poco::Net::StreamSocket& socket) {
-  // Half of the descriptors: the other half stays with Thrift, whatever floods here.
-  if (connections_.size() >= config_.bounds.connections / 2) {
+  if (connections_.size() >= config_.bounds.uwsgi_connections) {
     log("full", "uwsgi connection closed at once, %zu stand", connections_.size());
     return;
   }
@@ -88,7 +87,8 @@
     case verdict::served: to.finish(final.result); break;
     case verdict::refused: {
       // Whole seconds, as HTTP has it, and at least one: 0 would ask for a retry at once.
-      const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(final.retry_after).count());
+      const auto seconds =
+          std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(final.retry_after).count());
       to.finish(encode_response(503, "Retry-After: " + std::to_string(seconds) + "\r\n"));
       break;
     }
--- a/src/uwsgi/packet.cpp
+++ b/src/uwsgi/packet.cpp
@@ -72,7 +72,8 @@
 
 std::optional<packet> next_packet(std::string_view bytes, const limits& bounds) {
   if (bytes.size() < header_size) return std::nullopt;
-  if (bytes[0] != 0) throw bad_packet(bad_request, "modifier1 " + std::to_string(static_cast<std::uint8_t>(bytes[0])));
+  if (bytes[0] != 0)
+    throw bad_packet(bad_request, "modifier1 " + std::to_string(static_cast<std::uint8_t>(bytes[0])));
   const std::size_t size = little_endian(bytes.substr(1));
   if (size > bounds.uwsgi_vars) throw bad_packet(too_large, "vars of " + std::to_string(size) + " bytes");
   if (bytes.size() < header_size + size) return std::nullopt;
@@ -95,7 +96,8 @@
   return p;
 }
 
-std::string encode_packet(const std::vector<std::pair<std::string, std::string>>& vars, std::string_view body) {
+std::string encode_packet(const std::vector<std::pair<std::string, std::string>>& vars,
+                          std::string_view body) {
   std::string block;
   for (const auto& [name, value] : vars) {
     put_length(block, name.size());
@@ -112,8 +114,9 @@
 std::string encode_response(unsigned status, const std::string& more_headers) {
   const std::string line = std::to_string(status) + " " + reason(status);
   const std::string body = line + "\n";
-  return "HTTP/1.1 " + line + "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\n" + more_headers + "\r\n" + body;
+  return "HTTP/1.1 " + line +
+         "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+         more_headers + "\r\n" + body;
 }
 
 std::optional<response_head> read_head(std::string_view bytes, const limits& bounds) {
@@ -128,7 +131,8 @@
   std::string_view lines = bytes.substr(0, end + 2);
   const std::string_view first = lines.substr(0, lines.find("\r\n"));
   const std::size_t space = first.find(' ');
-  const std::size_t status = space == std::string_view::npos ? 0 : to_count(first.substr(space + 1, 3)).value_or(0);
+  const std::size_t status =
+      space == std::string_view::npos ? 0 : to_count(first.substr(space + 1, 3)).value_or(0);
   if (!first.starts_with("HTTP/1.") || status < 100 || status > 599) throw bad_response("no status line");
   head.status = static_cast<unsigned>(status);
   while (true) {
--- a/src/uwsgi/packet.hpp
+++ b/src/uwsgi/packet.hpp
@@ -32,7 +32,8 @@
 // The packet at the front of what has come in; none while it is not whole. Throws bad_packet.
 std::optional<packet> next_packet(std::string_view bytes, const limits& bounds);
 
-std::string encode_packet(const std::vector<std::pair<std::string, std::string>>& vars, std::string_view body);
+std::string encode_packet(const std::vector<std::pair<std::string, std::string>>& vars,
+                          std::string_view body);
 
 // A whole response with no body but a line that names its status.
 std::string encode_response(unsigned status, const std::string& more_headers = {});
--- /dev/null
+++ b/tests/net/dispatcher_test.cpp
@@ -0,0 +1,137 @@
+// The table of requests between a front and a backend that do not keep to anything.
+#include "core/dispatcher.hpp"
+
+#include <map>
+#include <set>
+
+#include "harness.hpp"
+
+using namespace marblewharf;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct rig : front, backend {
+  explicit rig(wrenrill::settings s) : desk(s, 1, now, counters) {
+    desk.add(*this);
+    desk.on_server_up(false, now);
+    desk.step(now, {});
+  }
+  void respond(request_id id, const answer& final) override {
+    CHECK(answers.emplace(id, final.how).second);  // one final answer each
+    advice[id] = final.retry_after;
+  }
+  void close_idle(duration) override {}
+  void run(request_id id, const request&) override { CHECK(runs.insert(id).second); }  // at most once
+  void pause(request_id id) override { paused.insert(id); }
+  void resume(request_id) override {}
+
+  request_id arrive(unsigned request_class = 0) {
+    request r;
+    r.request_class = request_class;
+    r.held_kb = 10;
+    return desk.on_arrival(*this, *this, std::move(r));
+  }
+  void pass(duration d) {
+    for (const time_point until = now + d; now < until; now += 10ms) desk.step(now, {});
+  }
+
+  time_point now = 1000s;
+  telemetry::counters counters;
+  std::map<request_id, verdict> answers;
+  std::map<request_id, duration> advice;
+  std::set<request_id> runs, paused;
+  dispatcher desk;
+};
+
+wrenrill::settings usual(unsigned cores = 2) {
+  wrenrill::settings s;
+  s.cores = cores;
+  s.crowd_factor = 5;
+  s.tick = 1ms;
+  s.halt = wrenrill::halt_mode::pause;
+  s.max_retry_after = 1s;
+  s.drain_grace = 500ms;
+  s.classes.push_back({.name = "read", .aim = 1s, .deadline = 3s});
+  s.classes.push_back({.name = "write", .aim = 1s, .deadline = 3s, .repeats = wrenrill::effect::unsafe});
+  return s;
+}
+
+void ends_count_once() {
+  rig r(usual());
+  const request_id id = r.arrive(1);
+  r.desk.on_end(id, run_end::fine, "early", 1ms);  // of what never started
+  CHECK(r.answers.empty());
+  r.pass(10ms);
+  CHECK(r.runs.contains(id));
+  r.desk.on_end(id, run_end::fine, "x", 5ms);
+  r.desk.on_end(id, run_end::fault, "", 5ms);
+  r.desk.on_end(12345, run_end::fine, "", 5ms);
+  r.desk.on_gone(id);
+  r.pass(5s);
+  CHECK(r.answers.at(id) == verdict::served && r.desk.open() == 0 && r.counters.served == 1);
+}
+
+void what_ran_is_never_refused() {
+  rig r(usual());
+  for (const run_end how : {run_end::fault, run_end::broken_off, run_end::never_started}) {
+    const request_id id = r.arrive(1);
+    r.pass(10ms);
+    r.desk.on_end(id, how, {}, 5ms);
+    r.pass(20ms);
+    CHECK(r.answers.at(id) == verdict::failed);
+  }
+  CHECK(r.desk.open() == 0);
+}
+
+// Guards against answers held back: a run past its aim is failed then, with advice, and stopped.
+void the_given_up_are_told_when_to_come_back() {
+  rig r(usual());
+  const request_id id = r.arrive(1);
+  r.pass(1050ms);
+  CHECK(r.answers.at(id) == verdict::failed && r.paused.contains(id) && r.advice.at(id) > 0ns);
+  r.desk.on_end(id, run_end::broken_off, {}, 1s);
+  CHECK(r.desk.open() == 0);
+}
+
+void the_gone_get_no_answer() {
+  rig r(usual(1));
+  std::vector<request_id> ids;
+  for (int i = 0; i < 8; ++i) ids.push_back(r.arrive());
+  r.pass(10ms);
+  for (const request_id id : ids) {
+    if (!r.answers.contains(id)) r.desk.on_gone(id);
+  }
+  const std::size_t answered = r.answers.size();
+  r.pass(5s);
+  CHECK(r.answers.size() == answered);
+  for (const request_id id : r.runs) r.desk.on_end(id, run_end::broken_off, {}, 1ms);
+  CHECK(r.desk.open() == 0);
+}
+
+// Every request that comes in a drain is answered before the stop, and none starts that came after the grace.
+void a_drain_leaves_nothing_open() {
+  rig r(usual(1));
+  std::vector<request_id> early, late;
+  early.push_back(r.arrive(1));
+  r.pass(10ms);
+  r.desk.on_drain(3s);
+  r.pass(600ms);
+  for (int i = 0; i < 5; ++i) late.push_back(r.arrive());
+  r.pass(2300ms);
+  for (const request_id id : early) CHECK(r.answers.contains(id));
+  for (const request_id id : late) CHECK(r.answers.at(id) == verdict::refused && !r.runs.contains(id));
+  CHECK(!r.desk.healthy());
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {{"once", ends_count_once},
+                                                   {"refusals", what_ran_is_never_refused},
+                                                   {"advice", the_given_up_are_told_when_to_come_back},
+                                                   {"gone", the_gone_get_no_answer},
+                                                   {"drain", a_drain_leaves_nothing_open}};
+  tests.at(argv[1])();
+  return 0;
+}
