--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -169,7 +169,9 @@
   bool slow_here() const;
   bool overloaded_everywhere();
   double wait_ahead() const;
-  duration advice() const { return std::min(set_.max_retry_after, from_seconds(wait_ahead() / 2)); }
+  duration advice() const {
+    return std::min(set_.max_retry_after, std::max(window, from_seconds(wait_ahead() / 2)));
+  }
   void watch_progress();
   void progress();
   bool unlinked_twin(const request& r, const arrival& a);
@@ -901,8 +903,7 @@
 
 // Answers with a failure a request that may have run, and stops its run.
 void policy::impl::give_up(request& r) {
-  act(fail{r.id,
-           draining_ ? set_.max_retry_after : std::max(advice(), std::min(window, set_.max_retry_after))});
+  act(fail{r.id, draining_ ? set_.max_retry_after : advice()});
   r.answered = true;
   release(r);
 }
