Keep a front's connections safe while they go; log what POCO would swallow

Seen on reading: server::leave() walked its list while a failed write took connections out of it. Both fronts now share net::connections, whose walk survives that. POCO's reactor catches what handlers throw and says nothing: fault_log writes it as 'internal'. A connect to the runtime that gets no answer is given up after 1 s. The middleware's gate has no public way inside any more.

--- a/include/marblewharf/middleware.hpp
+++ b/include/marblewharf/middleware.hpp
@@ -28,6 +28,10 @@
   std::uint64_t taken_in = 0, started = 0, served = 0, refused = 0, failed = 0;
 };
 
+namespace detail {
+class gate_impl;
+}
+
 // One for a server: all its handlers share these cores. Safe to use from all threads of the server.
 class gate {
  public:
@@ -43,11 +47,9 @@
   bool healthy() const;
   tally counts() const;
 
-  class impl;
-  impl& internals() { return *impl_; }
-
  private:
-  std::unique_ptr<impl> impl_;
+  friend class handler_factory;
+  std::unique_ptr<detail::gate_impl> impl_;
 };
 
 // Wraps a factory; its handlers only run when the gate lets them. The gate must outlive the server.
--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -42,6 +42,7 @@
   duration report_every = std::chrono::milliseconds(500);   // to the catalog, which forgets after 3 s
   duration gauges_every = std::chrono::milliseconds(50);    // the module's window is 100 ms
   duration gauges_stale = std::chrono::milliseconds(1000);  // after this they say nothing
+  duration connect = std::chrono::seconds(1);     // until a connection to the runtime stands
   duration same_start = std::chrono::seconds(1);  // two looks at one start of the runtime differ by less
   duration linger = std::chrono::seconds(2);      // for a caller to close after its answer
   duration reconnect_every = std::chrono::milliseconds(100);
--- a/src/middleware/middleware.cpp
+++ b/src/middleware/middleware.cpp
@@ -31,9 +31,9 @@
 
 // The dispatcher under a lock, its front and backend being the threads that wait here, and a thread that lets
 // time pass for it.
-class gate::impl : private front, private backend {
+class detail::gate_impl : private front, private backend {
  public:
-  impl(wrenrill::settings settings, std::uint64_t seed)
+  gate_impl(wrenrill::settings settings, std::uint64_t seed)
       : cores_(settings.cores),
         gauges_(settings.gauges),
         dispatcher_(without_stops(settings), seed, steady_now(), counters_) {
@@ -41,7 +41,7 @@
     dispatcher_.on_server_up(settings.cold, steady_now());
     ticker_ = std::thread([this] { let_time_pass(); });
   }
-  ~impl() override {
+  ~gate_impl() override {
     {
       const std::lock_guard lock(guard_);
       stopping_ = true;
@@ -167,7 +167,7 @@
 };
 
 gate::gate(wrenrill::settings settings, std::uint64_t seed)
-    : impl_(std::make_unique<impl>(std::move(settings), seed)) {}
+    : impl_(std::make_unique<detail::gate_impl>(std::move(settings), seed)) {}
 gate::~gate() = default;
 void gate::drain(std::chrono::nanoseconds left) {
   impl_->drain(left);
@@ -196,34 +196,33 @@
 
 class guarded : public Poco::Net::HTTPRequestHandler {
  public:
-  guarded(std::unique_ptr<Poco::Net::HTTPRequestHandler> wrapped, gate& g, const traits& t)
+  guarded(std::unique_ptr<Poco::Net::HTTPRequestHandler> wrapped, detail::gate_impl& g, const traits& t)
       : wrapped_(std::move(wrapped)), gate_(g), traits_(t) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
-    gate::impl& inside = gate_.internals();
-    const gate::impl::visit v = inside.enter(traits_);
-    if (v.where == gate::impl::state::refused) {
+    const detail::gate_impl::visit v = gate_.enter(traits_);
+    if (v.where == detail::gate_impl::state::refused) {
       respond(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, v.retry_after);
       return;
     }
-    if (v.where == gate::impl::state::failed) {
+    if (v.where == detail::gate_impl::state::failed) {
       respond(response, HTTPResponse::HTTP_GATEWAY_TIMEOUT);
       return;
     }
     try {
       wrapped_->handleRequest(request, response);
     } catch (...) {
-      inside.leave(v, false);
+      gate_.leave(v, false);
       throw;  // the server answers as it does without us
     }
-    const bool owed = inside.leave(v, response.getStatus() < HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+    const bool owed = gate_.leave(v, response.getStatus() < HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
     if (!owed && !response.sent()) respond(response, HTTPResponse::HTTP_GATEWAY_TIMEOUT);
   }
 
  private:
   std::unique_ptr<Poco::Net::HTTPRequestHandler> wrapped_;
-  gate& gate_;
+  detail::gate_impl& gate_;
   traits traits_;
 };
 
@@ -238,7 +237,7 @@
   std::unique_ptr<Poco::Net::HTTPRequestHandler> wrapped(wrapped_->createRequestHandler(request));
   if (!wrapped) return nullptr;  // the server says 501 to what nobody handles
   const traits t = classify_(request);
-  return new guarded(std::move(wrapped), gate_, t);
+  return new guarded(std::move(wrapped), *gate_.impl_, t);
 }
 
 }  // namespace marblewharf::middleware
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -1,9 +1,12 @@
 #include "net/reactor.hpp"
 
+#include <Poco/ErrorHandler.h>
 #include <Poco/Timespan.h>
 
 #include <algorithm>
 
+#include "telemetry/telemetry.hpp"
+
 namespace marblewharf::net {
 
 time_point steady_now() {
@@ -21,12 +24,28 @@
   return unix_us() / us_each_ms;
 }
 
+namespace {
+
+// POCO catches what a handler or a step throws and goes on. Guards against a fault that nobody ever sees.
+class fault_log : public Poco::ErrorHandler {
+  void exception(const Poco::Exception& e) override {
+    telemetry::log("internal", "%s", e.displayText().c_str());
+  }
+  void exception(const std::exception& e) override { telemetry::log("internal", "%s", e.what()); }
+  void exception() override { telemetry::log("internal", "an unknown exception"); }
+};
+
+}  // namespace
+
 reactor::reactor(const limits& bounds) : bounds_(bounds) {}
 
 void reactor::serve(std::function<time_point()> step) {
   step_ = std::move(step);
+  fault_log faults;
+  Poco::ErrorHandler* before = Poco::ErrorHandler::set(&faults);
   wake();
   run();
+  Poco::ErrorHandler::set(before);
 }
 
 void reactor::wake() {
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -89,6 +89,7 @@
   if (state_ == state::down && now >= next_try_) {
     next_try_ = now + config_.bounds.reconnect_every;
     state_ = state::connecting;
+    connecting_since_ = now;
     try {
       connection_ = std::make_shared<connection>(
           *this, Poco::Net::SocketAddress(config_.runtime.host, config_.runtime.port));
@@ -97,6 +98,10 @@
       state_ = state::down;
     }
   }
+  if (state_ == state::connecting && now > connecting_since_ + config_.bounds.connect) {
+    connection_->stream.close();
+    on_lost("no answer to a connect");
+  }
   if (state_ == state::up && now >= next_question_) ask(now);
   return state_ == state::up ? next_question_ : std::max(next_try_, now + config_.bounds.longest_poll);
 }
--- a/src/runtime/link.hpp
+++ b/src/runtime/link.hpp
@@ -78,6 +78,7 @@
   std::uint64_t settle_at_ = 0;  // the question behind the replayed notices
   time_point runtime_start_{};   // 0 = not heard yet
   time_point next_try_{};
+  time_point connecting_since_{};
   time_point next_question_{};
   std::vector<double> gauges_;
   time_point gauges_at_{};
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -117,6 +117,7 @@
       dispatcher_(d),
       backend_(b),
       counters_(counters),
+      connections_(r),
       names_(settings.settings),
       listener_(r, settings.bounds, settings.listen.host, settings.listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
@@ -132,8 +133,8 @@
     return;
   }
   ++counters_.connections;
-  connections_.push_back(std::make_shared<connection>(*this, socket));
-  if (leaving_) connections_.back()->let_go();
+  connection& added = connections_.add(std::make_shared<connection>(*this, socket));
+  if (leaving_) added.let_go();
 }
 
 void server::read(connection& from, const execute& what, std::int32_t seqid) {
@@ -175,18 +176,13 @@
     dispatcher_.on_gone(id);
   }
   c.open_.clear();
-  const auto at = std::find_if(connections_.begin(), connections_.end(),
-                               [&c](const auto& other) { return other.get() == &c; });
-  if (at == connections_.end()) return;
-  reactor_.retire(*at);
-  connections_.erase(at);
+  connections_.drop(c);
 }
 
 time_point server::step(time_point now) {
   if (now < next_sweep_) return next_sweep_;
   next_sweep_ = now + config_.bounds.longest_poll;
-  for (auto i = connections_.begin(); i != connections_.end();) {
-    connection& c = **i++;
+  connections_.each([&](connection& c) {
     const bool half = c.half_since_.count() > 0 && c.stream_.half_read();
     if (half && now - c.half_since_ > config_.bounds.half_frame) {
       c.poison("a message that never became whole");
@@ -196,14 +192,14 @@
     } else if (idle_after_.count() > 0 && c.open_.empty() && now - c.last_used_ > idle_after_) {
       c.let_go();
     }
-  }
+  });
   return next_sweep_;
 }
 
 void server::leave() {
   if (std::exchange(leaving_, true)) return;
   listener_.close();
-  for (const auto& c : connections_) c->let_go();
+  connections_.each([](connection& c) { c.let_go(); });
 }
 
 }  // namespace marblewharf::thrift
--- a/src/thrift/front.hpp
+++ b/src/thrift/front.hpp
@@ -1,13 +1,13 @@
 // Where balancers come in: reads their requests, hands them to the dispatcher and writes its answers.
 #pragma once
 
-#include <list>
 #include <memory>
 #include <unordered_map>
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
 #include "core/vocabulary.hpp"
+#include "net/connections.hpp"
 #include "net/listener.hpp"
 #include "net/stream.hpp"
 #include "thrift/codec.hpp"
@@ -31,7 +31,6 @@
 
  private:
   class connection;
-  using connections = std::list<std::shared_ptr<connection>>;
   struct open_request {
     connection* from = nullptr;
     std::int32_t seqid = 0;
@@ -46,7 +45,7 @@
   dispatcher& dispatcher_;
   backend& backend_;
   telemetry::counters& counters_;
-  connections connections_;
+  net::connections<connection> connections_;
   std::unordered_map<request_id, open_request> open_;
   vocabulary names_;
   net::listener listener_;
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -57,6 +57,7 @@
       dispatcher_(d),
       backend_(b),
       counters_(counters),
+      connections_(r),
       names_(settings.settings),
       listener_(r, settings.bounds, settings.uwsgi->listen.host, settings.uwsgi->listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {
@@ -71,7 +72,7 @@
     return;
   }
   ++counters_.connections;
-  connections_.push_back(std::make_shared<connection>(*this, socket));
+  connections_.add(std::make_shared<connection>(*this, socket));
 }
 
 request_id server::read(const packet& p) {
@@ -101,27 +102,22 @@
     open_.erase(c.id_);
     dispatcher_.on_gone(std::exchange(c.id_, 0));
   }
-  const auto at = std::find_if(connections_.begin(), connections_.end(),
-                               [&c](const auto& other) { return other.get() == &c; });
-  if (at == connections_.end()) return;
-  reactor_.retire(*at);
-  connections_.erase(at);
+  connections_.drop(c);
 }
 
 time_point server::step(time_point now) {
   if (now < next_sweep_) return next_sweep_;
   next_sweep_ = now + config_.bounds.longest_poll;
-  for (auto i = connections_.begin(); i != connections_.end();) {
-    connection& c = **i++;
+  connections_.each([&](connection& c) {
     const duration patience = c.done_ ? config_.bounds.linger : config_.bounds.half_frame;
-    if (c.id_ != 0 || now - c.since_ <= patience) continue;
+    if (c.id_ != 0 || now - c.since_ <= patience) return;
     if (!c.done_) {
       ++counters_.bad_frames;
       log("bad-packet", "uwsgi: a packet that never became whole");
     }
     c.stream_.close();
     drop(c);
-  }
+  });
   return next_sweep_;
 }
 
--- a/src/uwsgi/front.hpp
+++ b/src/uwsgi/front.hpp
@@ -2,13 +2,13 @@
 // the same decisions, as the Thrift front's.
 #pragma once
 
-#include <list>
 #include <memory>
 #include <unordered_map>
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
 #include "core/vocabulary.hpp"
+#include "net/connections.hpp"
 #include "net/listener.hpp"
 #include "net/stream.hpp"
 #include "uwsgi/packet.hpp"
@@ -42,7 +42,7 @@
   dispatcher& dispatcher_;
   backend& backend_;
   telemetry::counters& counters_;
-  std::list<std::shared_ptr<connection>> connections_;
+  net::connections<connection> connections_;
   std::unordered_map<request_id, connection*> open_;
   vocabulary names_;
   net::listener listener_;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -250,6 +250,15 @@
     ::rmdir(dir_.c_str());
   }
   void signal(int which) { ::kill(pid_, which); }
+  // Processor time used so far.
+  std::chrono::milliseconds used() const {
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+    std::string word;
+    long user = 0, system = 0;
+    for (int i = 1; i <= 13; ++i) stat >> word;
+    stat >> user >> system;
+    return std::chrono::milliseconds((user + system) * 1000 / ::sysconf(_SC_CLK_TCK));
+  }
   // Its exit status, once it has ended by itself.
   int wait() {
     int status = 0;
--- a/tests/net/node_test.cpp
+++ b/tests/net/node_test.cpp
@@ -24,6 +24,58 @@
   CHECK(read_reply(c).rest.find(std::string("\x02\x00\x03\x01", 4)) != std::string::npos);
 }
 
+void takes_half_frames_and_stalls() {
+  runtime r;
+  node n(r);
+  r.up();
+  connection c = connection::to(n.port);
+  const std::string whole = execute(1, usual(1), "a") + execute(2, usual(2), "b");
+  for (const std::size_t size : {std::size_t{2}, std::size_t{7}, whole.size() / 2 - 9, whole.size() / 2}) {
+    static std::size_t sent = 0;
+    c.send(whole.substr(sent, size));
+    sent += size;
+    std::this_thread::sleep_for(30ms);
+  }
+  for (int i = 1; i <= 2; ++i) r.end(r.expect("start"), "fine", "YQ==");
+  CHECK(read_reply(c).seqid == 1 && read_reply(c).seqid == 2);
+  n.signal(SIGSTOP);
+  c.send(execute(3, usual(3), "c"));
+  std::this_thread::sleep_for(400ms);
+  n.signal(SIGCONT);
+  r.end(r.expect("start"), "fine", "YQ==");
+  CHECK(read_reply(c).kind == "served");
+}
+
+// Guards against a poll that never waits: seen as a whole core of an idle node, on a writable link.
+void idles() {
+  runtime r;
+  node n(r);
+  r.up();
+  connection c = connection::to(n.port);
+  c.send(check(1));
+  read_reply(c);
+  const auto before = n.used();
+  std::this_thread::sleep_for(1000ms);
+  CHECK(n.used() - before < 500ms);
+}
+
+// Guards against a node that dies or keeps silent at the start: the catalog's socket had no descriptor.
+void reports_to_the_catalog() {
+  runtime r;
+  node n(r);
+  const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in a = address_of(n.port);
+  CHECK(::bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+  for (int i = 0; i < 2; ++i) {
+    pollfd p{fd, POLLIN, 0};
+    CHECK(::poll(&p, 1, 3000) > 0);  // or the catalog forgets it
+    char report[64] = "";
+    CHECK(::recv(fd, report, sizeof report - 1, 0) > 0);
+    CHECK(std::string(report) == "alive n0 passing");
+  }
+  ::close(fd);
+}
+
 // Guards against two answers to one request: the runtime repeats notices after a new link.
 void answers_once() {
   runtime r;
@@ -289,6 +341,9 @@
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {
       {"bodies", serves_bodies_byte_for_byte},
+      {"halves", takes_half_frames_and_stalls},
+      {"idle", idles},
+      {"catalog", reports_to_the_catalog},
       {"once", answers_once},
       {"failures", fails_what_the_runtime_fails},
       {"gone", stops_what_nobody_waits_for},
