Let limits.memory_mb bound the connections, so that stalled readers cannot fill it

Checked by reading: 960 connections with full write buffers would take 135 MB, which fits 192 MB; a node configured with less had no bound. The key is named when it is out of range (node.config).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -165,7 +165,12 @@
   if (const json::value* given = member(all, "limits")) {
     constexpr double own_descriptors = 64;  // links, logs, the listener and room to say no
     const double sockets = number_of(*given, "sockets", "limits.sockets", 1024, 128, 1e6);
-    c.bounds.connections = static_cast<std::size_t>(sockets - own_descriptors);
+    // Connections whose peers all stop reading may fill no more than this part of the memory.
+    constexpr double for_buffers = 0.75;
+    constexpr double mb = 1 << 20;
+    const double memory_mb = number_of(*given, "memory_mb", "limits.memory_mb", 192, 16, 1e6);
+    const double buffered = for_buffers * memory_mb * mb / static_cast<double>(c.bounds.write_buffer);
+    c.bounds.connections = static_cast<std::size_t>(std::min(sockets - own_descriptors, buffered));
   }
   c.settings = settings_of(all);
   return c;
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -62,8 +62,9 @@
 }
 
 void admission::tick(time_point now, std::span<const double> gauges) {
-  // The module knows of one timer and sets no other before it fired: one that fires too early is lost to it, and
-  // with it every later one. Guards against a node that was started cold and only acts when something comes in.
+  // The module knows of one timer and sets no other before it fired: one that fires too early is lost to it,
+  // and with it every later one. Guards against a node that was started cold and only acts when something
+  // comes in.
   if (now >= due_) {
     due_ = time_point::max();
     pending_.emplace_back(wrenrill::timer_fired{{gauges.begin(), gauges.end()}});
--- a/tests/net/node_test.cpp
+++ b/tests/net/node_test.cpp
@@ -321,6 +321,7 @@
       {"\"Deadline\":60000000000", "\"Deadline\":\"soon\"", "settings.Classes.0.Deadline"},
       {"\"stop_ms\":3200", "\"stop_ms\":\"soon\"", "stop_ms"},
       {"\"sockets\":1024", "\"sockets\":3", "limits.sockets"},
+      {"\"memory_mb\":192", "\"memory_mb\":1", "limits.memory_mb"},
       {"\"listen\":\"", "\"listen\":\"nowhere", "listen"},
       {"{", "[", "no JSON"}};
   for (const auto& w : wrong) {
