Probe starts in doubt with a pause, sort out taken names, forget what is over

Tables: last_seen_ (logic.cpp) kept each caller's number and begun_ (admission.cpp) each request gone before it ran, for ever. A nacked run kept its tenant's token though it had no service.

Checked against PROTOCOL: a repeated start of a run that has just ended would run it again, so settle() must not repeat it. A stop pauses here: broken_off proves that it ran (cont), no end before the next gauges proves that it never arrived (start). Where a stop is final the old way stays. Ruled out: lost links as such, runs carry on and no serial is missed.

--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -19,7 +19,8 @@
     case run_end::fine: return wrenrill::outcome::ok;
     case run_end::fault: return wrenrill::outcome::error;
     case run_end::broken_off: return wrenrill::outcome::cancelled;
-    case run_end::never_started: return wrenrill::outcome::moot;
+    case run_end::never_started:
+    case run_end::unknown: return wrenrill::outcome::moot;
   }
   return wrenrill::outcome::error;
 }
@@ -54,6 +55,8 @@
 }
 
 void admission::report(const gone& fact) {
+  // Nothing more comes of one that never began. Guards the table against one entry for each caller that left.
+  if (const auto known = begun_.find(fact.id); known != begun_.end() && !known->second) begun_.erase(known);
   pending_.emplace_back(wrenrill::departure{fact.id});
 }
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -53,7 +53,7 @@
   if (how == run_end::fine) {
     conclude(at, {.how = verdict::served, .result = result});
   } else if (how != run_end::broken_off) {
-    conclude(at, {.how = verdict::failed});
+    conclude(at, {.how = verdict::failed, .unknown = how == run_end::unknown});
   }
   admission_.report(ended{id, how, elapsed});
   if (at->second.answered) {
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -32,6 +32,7 @@
   fault,
   broken_off,     // stopped
   never_started,  // proven: nothing ran
+  unknown,        // the backend knows no such request, and ran nothing
 };
 
 enum class verdict { served, refused, failed };
@@ -43,6 +44,7 @@
   duration retry_after{};      // 0 = no advice
   bool not_elsewhere = false;  // where refused: no other server would do better
   bool overdue = false;        // where failed: given up for lack of time
+  bool unknown = false;        // where failed: the backend knows no such request, its sender made it up
 };
 
 }  // namespace marblewharf
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -513,6 +513,7 @@
     progress();
     if (speed() >= 1) ++runs_done_;
   }
+  if (c.result == outcome::moot) refund(r);  // it had no service
   if (c.result == outcome::cancelled && !r.answered) act(fail{r.id, advice()});
   erase(r);
 }
@@ -681,6 +682,8 @@
 // that fills with those of many callers of little traffic each, until new ones find no room; holds for a
 // fleet that grows and for callers that restart. Where most come back within seconds it does not act.
 void policy::impl::steer_idle() {
+  // Guards against a table that grows for ever where callers come with ever new numbers.
+  std::erase_if(last_seen_, [this](const auto& seen) { return now_ - seen.second >= idle_keep; });
   const bool keep_open = reuse_ >= reuse_worth;
   if (keep_open == idle_kept_) return;
   idle_kept_ = keep_open;
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -35,20 +35,31 @@
 
 void link::run(request_id id, const request& what) {
   const auto [at, added] = calls_.try_emplace(what.label);
-  if (!added) {  // the runtime knows runs by label: a second one of that name could not be told apart
-    log("bad-request", "a label that runs already: %s", what.label.c_str());
-    dispatcher_.on_end(id, run_end::never_started, {}, {});
+  call& c = at->second;
+  labels_.emplace(id, what.label);
+  if (!added) {
+    // The runtime knows runs by label, and only one request of that name: whoever has made up the other is told
+    // apart by the runtime's answer. Guards an honest request against one that took its name and came first.
+    log("bad-request", "a label that is open already: %s", what.label.c_str());
+    c.rivals.emplace_back(id, what);
+    if (c.start == sent::arrived) withdraw(c, id);
     return;
   }
-  call& c = at->second;
   c.id = id;
   c.label = what.label;
   c.request_class = what.request_class;
   c.payload = what.payload;
-  labels_.emplace(id, what.label);
   if (state_ == state::up) send_start(c);
 }
 
+// It did not run, and never will.
+void link::withdraw(call& c, request_id rival) {
+  std::erase_if(c.rivals, [&](const auto& r) { return r.first == rival; });
+  labels_.erase(rival);
+  reactor_.wake();
+  dispatcher_.on_end(rival, run_end::unknown, {}, {});
+}
+
 // A write may find that the link is lost, also halfway through a round of commands.
 void link::say(const std::string& line) {
   if (connection_) connection_->stream.send(line);
@@ -73,25 +84,39 @@
   if (known == labels_.end()) return;
   const auto at = calls_.find(known->second);
   call& c = at->second;
+  if (c.id != id) {
+    if (stopped) withdraw(c, id);
+    return;
+  }
   c.stopped = stopped;
   if (stopped && c.start == sent::no) {  // it never left this process
     finish(at, run_end::never_started, {}, {});
-  } else if (state_ == state::up) {
+  } else if (state_ == state::up && !c.probing) {
     say_stopped(c);
   }
 }
 
 void link::say_stopped(call& c) {
   c.told_stopped = c.stopped;
+  c.sure = false;
+  c.fence = questions_ + 1;
   say(c.stopped ? encode_stop(c.label) : encode_cont(c.label));
 }
 
 void link::finish(calls::iterator at, run_end how, std::string_view result, duration elapsed) {
-  const request_id id = at->second.id;
-  labels_.erase(id);
+  const call done = std::move(at->second);
+  labels_.erase(done.id);
   calls_.erase(at);
   reactor_.wake();
-  dispatcher_.on_end(id, how, result, elapsed);
+  dispatcher_.on_end(done.id, how, result, elapsed);
+  for (const auto& [id, what] : done.rivals) {
+    labels_.erase(id);
+    if (how == run_end::unknown) {
+      run(id, what);
+    } else {
+      dispatcher_.on_end(id, run_end::unknown, {}, {});
+    }
+  }
 }
 
 void link::move(const Poco::Net::SocketAddress& to) {
@@ -248,6 +273,13 @@
     finish(at, run_end::fault, {}, n.elapsed);
     return;
   }
+  call& c = at->second;
+  if (std::exchange(c.probing, false) && n.how == run_end::broken_off && !c.stopped) {
+    c.start = sent::arrived;  // it runs, and goes on
+    c.told_stopped = true;
+    if (state_ == state::up) say_stopped(c);
+    return;
+  }
   finish(at, n.how, n.result, n.elapsed);
 }
 
@@ -256,28 +288,60 @@
   std::from_chars(n.cookie.data(), n.cookie.data() + n.cookie.size(), asked);
   gauges_ = n.stats;
   gauges_at_ = net::steady_now();
-  for (auto& [label, c] : calls_) {
-    if (c.start != sent::on_its_way || c.fence > asked) continue;
-    if (state_ == state::catching_up) continue;  // sent on a link that is gone: settled below
+  if (state_ != state::catching_up) on_arrived(asked);  // else it was said on a link that is gone: settled below
+  if (state_ == state::catching_up && asked >= settle_at_) settle();
+  if (state_ == state::handing_over && asked >= settle_at_) hand_over(gauges_at_);
+}
+
+// All that was said before that question has been carried out.
+void link::on_arrived(std::uint64_t asked) {
+  std::vector<std::string> labels;
+  for (const auto& [label, c] : calls_) {
+    if (c.fence <= asked && (c.start == sent::on_its_way || !c.sure)) labels.push_back(label);
+  }
+  for (const std::string& label : labels) {
+    const auto at = calls_.find(label);
+    if (at == calls_.end()) continue;
+    call& c = at->second;
+    c.sure = true;
+    if (std::exchange(c.probing, false)) {  // a stop that ended nothing: it never started
+      if (c.stopped) {
+        finish(at, run_end::never_started, {}, {});
+      } else if (state_ == state::up) {
+        send_start(c);
+      } else {
+        c.start = sent::no;
+      }
+      continue;
+    }
+    if (c.start != sent::on_its_way) continue;
     c.start = sent::arrived;
     c.payload.clear();
+    while (!c.rivals.empty()) withdraw(c, c.rivals.back().first);
   }
-  if (state_ == state::catching_up && asked >= settle_at_) settle();
-  if (state_ == state::handing_over && asked >= settle_at_) hand_over(gauges_at_);
 }
 
-// Every end until now is known. A start that may have been lost with the link is sent again only where a
-// second run does no harm; an effect may be running, so it is stopped and counts as failed.
+// Every end until now is known. A start that may have been lost with the link cannot just be said again: the run
+// may end as it is said, and would begin anew. So it is stopped first where that only pauses it. If it runs, the
+// runtime says so and it goes on; if not, it is started. Where a stop is for good, only what is safe is started
+// again; an effect is stopped and counts as failed.
 void link::settle() {
+  const bool pauses = config_.settings.halt == wrenrill::halt_mode::pause;
+  state_ = state::up;
   std::vector<std::string> doubtful;
   for (auto& [label, c] : calls_) {
-    const bool safe = config_.settings.classes[c.request_class].repeats == wrenrill::effect::safe;
-    if (c.start == sent::on_its_way && safe && !c.stopped) {
+    if (c.start == sent::on_its_way && pauses) {
+      c.probing = true;
+      c.sure = false;
+      c.fence = questions_ + 1;
+      say(encode_stop(label));
+    } else if (c.start == sent::on_its_way && !c.stopped &&
+               config_.settings.classes[c.request_class].repeats == wrenrill::effect::safe) {
       c.start = sent::no;
     } else if (c.start == sent::on_its_way) {
       doubtful.push_back(label);
-    } else if (c.stopped || c.told_stopped) {
-      say_stopped(c);  // the last word may have been lost
+    } else if (c.start == sent::arrived && !c.sure) {
+      say_stopped(c);
     }
   }
   for (const std::string& label : doubtful) {
@@ -285,6 +349,7 @@
     finish(calls_.find(label), run_end::fault, {}, {});
   }
   say_held_back();
+  if (state_ == state::up) ask(net::steady_now());
 }
 
 // What was decided while nothing could be said.
@@ -293,7 +358,7 @@
   for (auto& [label, c] : calls_) {
     if (c.start == sent::no) {
       send_start(c);
-    } else if (c.stopped != c.told_stopped) {
+    } else if (c.stopped != c.told_stopped && !c.probing) {
       say_stopped(c);
     }
   }
@@ -303,7 +368,7 @@
   ++counters_.nacks;
   log("nack", "runtime: %s of %s", n.command.c_str(), n.call.c_str());
   const auto at = calls_.find(n.call);
-  if (n.command == "start" && at != calls_.end()) finish(at, run_end::never_started, {}, {});
+  if (n.command == "start" && at != calls_.end()) finish(at, run_end::unknown, {}, {});
 }
 
 void link::on(const info& n) {
--- a/src/runtime/link.hpp
+++ b/src/runtime/link.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "config/config.hpp"
@@ -53,9 +54,12 @@
     unsigned request_class = 0;
     std::string payload;  // until its start has arrived
     sent start = sent::no;
-    std::uint64_t fence = 0;  // the question whose answer shows that the start arrived
+    std::uint64_t fence = 0;  // the question whose answer shows that all said of it arrived
     bool stopped = false;     // wanted
     bool told_stopped = false;
+    bool sure = true;      // what it was told last has arrived
+    bool probing = false;  // stopped for a moment, to learn whether its start ever arrived
+    std::vector<std::pair<request_id, request>> rivals;  // under the same label, until one is known to run
   };
   using calls = std::unordered_map<std::string, call>;
 
@@ -76,6 +80,8 @@
   void send_start(call& c);
   void settle();
   void say_held_back();
+  void on_arrived(std::uint64_t asked);
+  void withdraw(call& c, request_id rival);
   void set_stopped(request_id id, bool stopped);
   void say_stopped(call& c);
   void ask(time_point now);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -222,6 +222,24 @@
   EXPECT_EQ(r.ids<start>(), ids{71});
 }
 
+// Somebody floods under a tenant's name with what the backend never runs: the tenant itself still competes.
+TEST(Tags, WhatNeverRanGivesItsTokenBack) {
+  settings s = plain_settings();
+  s.tenants = {{"a", 2}, {"b", 2}};
+  s.servers = 1;
+  s.cores = 1;
+  rig r(s);
+  for (request_id id = 10; id < 30; ++id) {
+    r.at(1ms * id, {request_of(id, 0)});
+    ASSERT_TRUE(r.has<start>(id));
+    r.send({completion{id, outcome::moot, 0ms}});
+  }
+  r.at(100ms, {request_of(69, 1)});
+  r.at(110ms, {request_of(71, 1), request_of(70, 0)});
+  r.at(150ms, {done(69, 50ms)});
+  EXPECT_EQ(r.ids<start>(), ids{70});
+}
+
 // The caller waits 4 s for a first try; one that comes with 2.9 s left has used up its aim of 1 s elsewhere.
 TEST(Shedding, AFurtherTryWhoseAimHasGoneByIsTurnedAway) {
   rig r(plain_settings());
