End broken and silent connections in time, and let them shut nobody out

Checked: the bound on connections was 3/4 of the memory over a whole write buffer each (config.cpp), 170 at 32 MB of 384 descriptors, and nothing ever closed a silent one; a half frame's 10 s began anew with each byte (front.cpp); a refused frame was closed with bytes unread. Ruled out: CPU (0.06 of a core at most) and memory (3 MB).

Now the table holds as many as there are descriptors and makes room for new ones; what connections keep is bounded together and one buffer serves all reads. Eight bad messages end a connection. A door 10 min off is no door. The same for uwsgi.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -165,12 +165,11 @@
   if (const json::value* given = member(all, "limits")) {
     constexpr double own_descriptors = 64;  // links, logs, the listener and room to say no
     const double sockets = number_of(*given, "sockets", "limits.sockets", 1024, 128, 1e6);
-    // Connections whose peers all stop reading may fill no more than this part of the memory.
-    constexpr double for_buffers = 0.75;
+    constexpr double for_buffers = 0.25;            // of the memory
     constexpr double mb = 1 << 20;
     const double memory_mb = number_of(*given, "memory_mb", "limits.memory_mb", 192, 16, 1e6);
-    const double buffered = for_buffers * memory_mb * mb / static_cast<double>(c.bounds.write_buffer);
-    c.bounds.connections = static_cast<std::size_t>(std::min(sockets - own_descriptors, buffered));
+    c.bounds.buffered = static_cast<std::size_t>(for_buffers * memory_mb * mb);
+    c.bounds.connections = static_cast<std::size_t>(sockets - own_descriptors);
   }
   c.settings = settings_of(all);
   return c;
--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -18,17 +18,24 @@
   unsigned open_each_connection = 32;
   std::size_t uwsgi_vars = 4096;                   // of one packet
   std::size_t response_head = 8192;                // of a uwsgi server's response
-  duration half_frame = std::chrono::seconds(10);  // a frame that was begun is whole within this
+  // A broken sender is owed an end within 3 s of its connect.
+  duration half_frame = std::chrono::milliseconds(2000);  // a frame that was begun is whole within this
+  duration silent = std::chrono::milliseconds(2000);      // a connection brings its first message within this
+  duration idle = std::chrono::seconds(40);               // balancers close theirs after some 30 s
+  unsigned strikes = 8;                                   // bad messages on a connection until it is given up
 
   // What this process holds.
   std::size_t connections = 900;  // of the descriptors, less what the program needs itself
   std::size_t uwsgi_connections =
       240;            // as many again may go to uwsgi servers: a flood leaves Thrift its own
   int backlog = 512;  // connections that wait while this process is stalled
-  // For each connection: the answers to all requests that may be open on it, and all connections together
-  // stay well under the memory of a node.
+  // For each connection: the answers to all requests that may be open on it.
   std::size_t write_buffer = std::size_t{144} << 10;
-  std::size_t read_chunk = std::size_t{16} << 10;
+  // All connections together: peers that all stop reading may fill no more than this.
+  std::size_t buffered = std::size_t{48} << 20;
+  std::size_t read_chunk = std::size_t{16} << 10;     // read of a connection in one round, so that none starves
+  std::size_t discard_chunk = std::size_t{64} << 10;  // ... and thrown away, of one that was given up
+  unsigned accepts = 64;                              // connections taken in one round
   std::size_t record = std::size_t{64} << 20;            // of a capture file that is written
   std::size_t capture_flows = 4096;                      // connections followed in one that is read
   std::size_t capture_waiting = std::size_t{256} << 10;  // bytes kept behind a hole in one of them
@@ -46,6 +53,7 @@
   duration connect = std::chrono::seconds(1);     // until a connection to the runtime stands
   duration same_start = std::chrono::seconds(1);  // two looks at one start of the runtime differ by less
   duration linger = std::chrono::seconds(2);      // for a caller to close after its answer
+  duration sweep_every = std::chrono::milliseconds(100);  // looks at all connections
   duration hand_over = std::chrono::milliseconds(300);  // to a new address of the runtime, then tried again
   duration reconnect_every = std::chrono::milliseconds(100);
 };
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +37,20 @@
       if (open_.contains(c.get())) f(*c);
     }
   }
+  // The one with the least `rank`, a time; null where that is none for all.
+  template <typename F>
+  T* least(F rank) const {
+    T* found = nullptr;
+    std::optional<time_point> best;
+    for (const auto& [key, c] : open_) {
+      const std::optional<time_point> next = rank(*c);
+      if (next && (!best || *next < *best)) {
+        best = next;
+        found = c.get();
+      }
+    }
+    return found;
+  }
   std::size_t size() const { return open_.size(); }
   bool empty() const { return open_.empty(); }
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -11,7 +11,7 @@
 
 listener::listener(reactor& r, const limits& bounds, const std::string& host, std::uint16_t port,
                    handler accepted)
-    : reactor_(r), accepted_(std::move(accepted)) {
+    : reactor_(r), bounds_(bounds), accepted_(std::move(accepted)) {
   try {
     socket_.bind(Poco::Net::SocketAddress(host, port), true);
     socket_.listen(bounds.backlog);
@@ -45,7 +45,11 @@
   if (!open_) return;
   reactor_.wake();
   try {
-    accepted_(socket_.acceptConnection());
+    // More than one a round: hundreds that open at once must not keep others waiting behind them.
+    unsigned taken = 0;
+    do {
+      accepted_(socket_.acceptConnection());
+    } while (open_ && ++taken < bounds_.accepts && socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ));
   } catch (const Poco::Exception& e) {
     telemetry::log("accept", "no connection: %s", e.displayText().c_str());
   }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -29,6 +29,7 @@
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
 
   reactor& reactor_;
+  const limits& bounds_;
   handler accepted_;
   Poco::Net::ServerSocket socket_;
   bool open_ = true;
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -46,7 +46,8 @@
 
 }  // namespace
 
-reactor::reactor(const limits& bounds) : bounds_(bounds) {}
+reactor::reactor(const limits& bounds)
+    : bounds_(bounds), scratch_(std::max(bounds.read_chunk, bounds.discard_chunk), '\0') {}
 
 void reactor::serve(std::function<time_point()> step) {
   step_ = std::move(step);
--- a/src/net/reactor.hpp
+++ b/src/net/reactor.hpp
@@ -38,6 +38,13 @@
   void listen_in(tap* t) { tap_ = t; }
   tap* listener() const { return tap_; }
 
+  // One for all connections: what is read is taken from it before the next one reads.
+  std::string& scratch() { return scratch_; }
+
+  // Bytes that all connections keep.
+  void buffer(std::size_t before, std::size_t now) { buffered_ += now - before; }
+  std::size_t buffered() const { return buffered_; }
+
   // Something was read or reported: step at once after this round.
   void wake();
 
@@ -50,6 +57,8 @@
   const limits& bounds_;
   std::function<time_point()> step_;
   tap* tap_ = nullptr;
+  std::string scratch_;
+  std::size_t buffered_ = 0;
   std::vector<std::shared_ptr<void>> retired_;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -60,6 +60,8 @@
 void stream::close() {
   if (!open_) return;
   open_ = false;
+  keep(in_, {});
+  keep(out_, {});
   if (tap_ != nullptr) tap_->on_close(this);
   watch_writable(false);
   reactor_.removeEventHandler(
@@ -73,8 +75,10 @@
 }
 
 void stream::finish() {
-  if (!open_) return;
+  if (!open_ || discarding_) return;
   finishing_ = true;
+  discarding_ = true;
+  keep(in_, {});
   if (!connecting_) flush();
 }
 
@@ -87,30 +91,43 @@
 void stream::on_readable(const readable&) {
   if (!open_) return;
   reactor_.wake();
-  const std::size_t had = in_.size();
-  in_.resize(had + bounds_.read_chunk);
+  const std::size_t most = discarding_ ? bounds_.discard_chunk : bounds_.read_chunk;
   int got = 0;
   try {
-    got = socket_.receiveBytes(in_.data() + had, static_cast<int>(bounds_.read_chunk));
+    got = socket_.receiveBytes(reactor_.scratch().data(), static_cast<int>(most));
   } catch (const Poco::Exception& e) {
-    in_.resize(had);
     lose("reset");
     return;
   }
-  in_.resize(had + static_cast<std::size_t>(std::max(got, 0)));
   if (got == 0) {
     lose("closed by the other side");
-    return;
+  } else if (got > 0) {  // else nothing there after all
+    take(static_cast<std::size_t>(got));
+  }
+}
+
+// Only what is left of an unfinished message is kept: hundreds of connections share one buffer.
+void stream::take(std::size_t got) {
+  std::string_view bytes(reactor_.scratch().data(), got);
+  if (tap_ != nullptr) tap_->on_read(this, bytes);
+  std::string joined;
+  if (!in_.empty()) {
+    joined.swap(in_);
+    reactor_.buffer(joined.size(), 0);
+    bytes = joined.append(bytes);
   }
-  if (got < 0) return;  // nothing there after all
-  if (tap_ != nullptr) tap_->on_read(this, std::string_view(in_).substr(had));
-  std::size_t taken = 0;
-  while (open_ && taken < in_.size()) {
-    const std::size_t more = owner_.on_bytes(std::string_view(in_).substr(taken));
+  while (open_ && !discarding_ && !bytes.empty()) {
+    const std::size_t more = owner_.on_bytes(bytes);
     if (more == 0) break;
-    taken += more;
+    bytes.remove_prefix(more);
   }
-  in_.erase(0, taken);
+  if (open_ && !discarding_) keep(in_, bytes);
+}
+
+// Guards the memory against buffers that keep the room they once needed.
+void stream::keep(std::string& buffer, std::string_view bytes) {
+  reactor_.buffer(buffer.size(), bytes.size());
+  buffer = std::string(bytes);
 }
 
 void stream::on_writable(const writable&) {
@@ -134,15 +151,14 @@
 
 void stream::send(std::string_view bytes) {
   if (!open_) return;
-  // Guards the process's memory against a peer that sends and never reads.
-  if (out_.size() + bytes.size() > bounds_.write_buffer) {
-    lose("reads too slowly");
-    return;
-  }
   if (tap_ != nullptr) tap_->on_written(this, bytes);
   const bool idle = out_.empty();
+  reactor_.buffer(0, bytes.size());
   out_.append(bytes);
   if (idle && !connecting_) flush();
+  // Guards the process's memory against peers that send and never read, one or all of them together.
+  const bool too_much = out_.size() > bounds_.write_buffer || reactor_.buffered() > bounds_.buffered;
+  if (open_ && !out_.empty() && too_much) lose("reads too slowly");
 }
 
 void stream::flush() {
@@ -158,7 +174,7 @@
     if (more <= 0) break;
     written += static_cast<std::size_t>(more);
   }
-  out_.erase(0, written);
+  if (written > 0) keep(out_, std::string_view(out_).substr(written));
   watch_writable(!out_.empty());
   if (!finishing_ || !out_.empty()) return;
   finishing_ = false;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -35,7 +35,8 @@
 
   void send(std::string_view bytes);
   void close();
-  // Nothing more will be sent: the other side sees the end once all is written.
+  // Nothing more will be sent: the other side sees the end once all is written. What still comes is thrown away
+  // unseen: a close with bytes unread would reset the connection, and the last answer could be lost with it.
   void finish();
   bool is_open() const { return open_; }
   // Bytes of an unfinished message wait for the rest.
@@ -48,6 +49,8 @@
   using error = Poco::AutoPtr<Poco::Net::ErrorNotification>;
 
   void watch();
+  void take(std::size_t got);
+  void keep(std::string& buffer, std::string_view bytes);
   void on_readable(const readable&);
   void on_writable(const writable&);
   void on_error(const error&);
@@ -65,6 +68,7 @@
   bool connecting_ = false;
   bool watching_writable_ = false;
   bool finishing_ = false;
+  bool discarding_ = false;
   tap* tap_ = nullptr;  // where it was accepted and somebody listens in
 };
 
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -22,6 +22,9 @@
   std::uint64_t bad_requests = 0;  // failed at once: a field, class or tenant that is wrong
   std::uint64_t bad_frames = 0;    // undecodable, oversized or one too many
   std::uint64_t checks = 0;        // health checks answered
+  std::uint64_t silent = 0;        // connections that never brought a message
+  std::uint64_t made_room = 0;     // connections not in use closed for new ones
+  std::uint64_t turned_away = 0;   // connections closed at once, all others being in use
   std::uint64_t links_lost = 0;    // to the runtime
   std::uint64_t nacks = 0;
 };
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -25,19 +25,29 @@
   void let_go() {
     if (asked_to_close_) return;
     asked_to_close_ = true;
+    last_used_ = net::steady_now();
     stream_.send(encode_closing());
   }
 
   // Its sender broke the protocol: what is open is still answered, nothing more is read.
   void poison(const char* why);
+  // Its sender sent a message that only it is to blame for; not for ever.
+  void strike();
+  // Ends it, once nothing is open on it, so that the other side sees all that it was sent.
+  void finish();
+  // When it may be closed for the sake of others, the earliest first; none: something is open or arriving.
+  std::optional<time_point> dispensable() const;
 
   server& server_;
   net::stream stream_;
   std::unordered_map<std::int32_t, request_id> open_;  // by sequence number
   time_point last_used_ = net::steady_now();
   time_point half_since_{};  // 0 = nothing stands half-read
+  unsigned strikes_ = 0;
+  bool heard_ = false;  // brought a whole message
   bool asked_to_close_ = false;
   bool poisoned_ = false;
+  bool finished_ = false;
 
  private:
   void take(const message& m);
@@ -46,14 +56,16 @@
 
 std::size_t server::connection::on_bytes(std::string_view bytes) {
   if (poisoned_) return bytes.size();  // read on, to see its end
-  last_used_ = net::steady_now();
-  half_since_ = {};
   try {
     const std::optional<frame> f = next_frame(bytes, server_.config_.bounds);
     if (!f) {
-      half_since_ = last_used_;
+      // Not moved on by further bytes: guards against a frame that comes byte by byte for ever.
+      if (half_since_.count() == 0) half_since_ = net::steady_now();
       return 0;
     }
+    last_used_ = net::steady_now();
+    half_since_ = {};
+    heard_ = true;
     take(decode(f->payload, server_.config_.bounds));
     return f->size;
   } catch (const bad_frame& e) {
@@ -68,16 +80,32 @@
   poisoned_ = true;
   half_since_ = {};
   let_go();
-  if (open_.empty()) {
-    stream_.close();
-    server_.drop(*this);
-  }
+  if (open_.empty()) finish();
+}
+
+void server::connection::strike() {
+  if (++strikes_ >= server_.config_.bounds.strikes && !poisoned_) poison("too many bad messages");
+}
+
+void server::connection::finish() {
+  if (std::exchange(finished_, true)) return;
+  let_go();
+  last_used_ = net::steady_now();
+  stream_.finish();
+}
+
+std::optional<time_point> server::connection::dispensable() const {
+  if (!open_.empty() || half_since_.count() > 0) return std::nullopt;
+  // Who was told to go comes first, then who never said anything.
+  if (finished_ || asked_to_close_) return time_point::min() + last_used_;
+  return heard_ ? last_used_ : time_point::min() / 2 + last_used_;
 }
 
 void server::connection::reject(std::int32_t seqid, app_error why, const std::string& text) {
   ++server_.counters_.bad_frames;
   log("bad-request", "message %d rejected: %s", seqid, text.c_str());
   send(encode_exception(seqid, "execute", why, text));
+  strike();
 }
 
 void server::connection::take(const message& m) {
@@ -129,8 +157,18 @@
 void server::accept(const Poco::Net::StreamSocket& socket) {
   // Guards the descriptors: one more than these and the program could not reach its runtime.
   if (connections_.size() >= config_.bounds.connections) {
-    log("full", "connection closed at once, %zu stand", connections_.size());
-    return;
+    // Guards balancers against hundreds that open connections and do not use them.
+    connection* const unused = connections_.least([](const connection& c) { return c.dispensable(); });
+    if (unused == nullptr) {
+      ++counters_.turned_away;
+      log("full", "connection closed at once, %zu stand", connections_.size());
+      return;
+    }
+    ++counters_.made_room;
+    log("full", "a connection not in use was closed for a new one, %zu stand", connections_.size());
+    unused->let_go();
+    unused->stream_.close();
+    drop(*unused);
   }
   ++counters_.connections;
   connection& added = connections_.add(std::make_shared<connection>(*this, socket));
@@ -145,6 +183,7 @@
     ++counters_.bad_requests;
     log("bad-request", "field %s is missing or wrong", e.what());
     from.send(encode_internal(seqid, {}));
+    from.strike();
     return;
   }
   const request_id id = dispatcher_.on_arrival(*this, backend_, std::move(r));
@@ -168,6 +207,7 @@
     case verdict::refused: to.from->send(encode_overloaded(to.seqid, fields)); break;
     case verdict::failed: to.from->send(encode_internal(to.seqid, fields)); break;
   }
+  if (final.unknown) to.from->strike();
 }
 
 void server::drop(connection& c) {
@@ -181,15 +221,24 @@
 
 time_point server::step(time_point now) {
   if (now < next_sweep_) return next_sweep_;
-  next_sweep_ = now + config_.bounds.longest_poll;
+  next_sweep_ = now + config_.bounds.sweep_every;
+  const limits& bounds = config_.bounds;
   connections_.each([&](connection& c) {
-    const bool half = c.half_since_.count() > 0 && c.stream_.half_read();
-    if (half && now - c.half_since_ > config_.bounds.half_frame) {
+    const duration unused = now - c.last_used_;
+    if (c.half_since_.count() > 0 && now - c.half_since_ > bounds.half_frame) {
       c.poison("a message that never became whole");
-    } else if (c.poisoned_ && c.open_.empty() && c.stream_.flushed()) {
+    } else if (c.finished_) {
+      if (unused <= bounds.linger) return;
       c.stream_.close();
       drop(c);
-    } else if (idle_after_.count() > 0 && c.open_.empty() && now - c.last_used_ > idle_after_) {
+    } else if (!c.open_.empty() || c.half_since_.count() > 0) {
+      return;
+    } else if (c.poisoned_ || (c.asked_to_close_ && !leaving_ && unused > bounds.linger)) {
+      c.finish();
+    } else if (!c.heard_ && unused > bounds.silent) {
+      ++counters_.silent;
+      c.finish();
+    } else if (unused > bounds.idle || (idle_after_.count() > 0 && unused > idle_after_)) {
       c.let_go();
     }
   });
--- a/src/thrift/request.cpp
+++ b/src/thrift/request.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t hex_size = 16;
 constexpr double most_ram_kb = 2000;
 constexpr double most_cpu_ms = 1e7;
-constexpr std::int64_t longest_wait_ms = 600000;  // a door beyond this is a wrong clock
+constexpr std::int64_t furthest_door_ms = 600000;  // a door further off, before or behind, is no clock's
 
 template <typename T, typename... Base>
 std::optional<T> parsed(const std::string& text, Base... base) {
@@ -54,9 +54,9 @@
   r.label = field(f, "txn");
   hex(r.label, "txn");
   const auto door = parsed<std::int64_t>(field(f, "door"));
-  if (!door || *door < 0) throw bad_field("door");
+  if (!door || *door < now_ms - furthest_door_ms || *door > now_ms + furthest_door_ms) throw bad_field("door");
   // A door in the future is another clock that runs ahead: as if it had just come.
-  r.waited = std::chrono::milliseconds(std::clamp<std::int64_t>(now_ms - *door, 0, longest_wait_ms));
+  r.waited = std::chrono::milliseconds(std::max<std::int64_t>(now_ms - *door, 0));
   r.caller = known(parsed<unsigned>(field(f, "lb")), "lb");
   r.work = std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::milli>(number(f, "cpu", 0, most_cpu_ms)));
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -68,8 +68,19 @@
 
 void server::accept(const Poco::Net::StreamSocket& socket) {
   if (connections_.size() >= config_.bounds.uwsgi_connections) {
-    log("full", "uwsgi connection closed at once, %zu stand", connections_.size());
-    return;
+    // Those answered first, then those that have not sent a byte, the oldest of each.
+    connection* const unused = connections_.least([](const connection& c) -> std::optional<time_point> {
+      if (c.id_ != 0 || (!c.done_ && c.stream_.half_read())) return std::nullopt;
+      return c.done_ ? time_point::min() + c.since_ : c.since_;
+    });
+    if (unused == nullptr) {
+      ++counters_.turned_away;
+      log("full", "uwsgi connection closed at once, %zu stand", connections_.size());
+      return;
+    }
+    ++counters_.made_room;
+    unused->stream_.close();
+    drop(*unused);
   }
   ++counters_.connections;
   connections_.add(std::make_shared<connection>(*this, socket));
@@ -107,7 +118,7 @@
 
 time_point server::step(time_point now) {
   if (now < next_sweep_) return next_sweep_;
-  next_sweep_ = now + config_.bounds.longest_poll;
+  next_sweep_ = now + config_.bounds.sweep_every;
   connections_.each([&](connection& c) {
     const duration patience = c.done_ ? config_.bounds.linger : config_.bounds.half_frame;
     if (c.id_ != 0 || now - c.since_ <= patience) return;
--- a/tests/net/uwsgi_test.cpp
+++ b/tests/net/uwsgi_test.cpp
@@ -156,6 +156,18 @@
 }
 
 // What overload and a drain refuse is 503, says when to come back, and never reached a server.
+// Guards gateways against many that open connections and say nothing, or stop in the middle of a packet.
+void silent_callers_shut_nobody_out() {
+  site s({.edit_from = "\"sockets\":1024", .edit_to = "\"sockets\":128"});  // 16 of them for gateways
+  std::vector<connection> silent;
+  for (int i = 0; i < 40; ++i) silent.push_back(s.caller(""));
+  connection half = s.caller(request(abfrage, "isar-invest", "abc").substr(0, 20));
+  connection c = s.caller(request(abfrage, "isar-invest", "abc"));
+  s.attempt().send(ok_response());
+  CHECK(c.rest() == ok_response());
+  CHECK(half.rest().empty());  // in time, by itself
+}
+
 void refusals_are_503_with_retry_after() {
   site s({.cores = 1, .stop_ms = 4500, .aim_ms = 700});
   std::vector<connection> servers, callers;
@@ -287,6 +299,7 @@
       {"overdue", past_its_time_it_is_504_and_broken_off},
       {"gone", a_hangup_is_gone},
       {"bad_packets", bad_packets_are_told_so},
+      {"silent", silent_callers_shut_nobody_out},
       {"refusals", refusals_are_503_with_retry_after},
       {"mixed_load", thrift_writes_meet_their_aim_under_a_uwsgi_flood},
   };
