Grow the running limit by what the idle cores would take, not by one

Checked: a node's configuration states 12 cores and aims of 0.4 to 0.7 s; runs spend half their time at disks, so 12 runs leave the cores half idle, and one more each 0.5 s (steer_limit, logic.cpp) needs 6 s to fill them.

GrowsByWhatTheIdleCoresTake fails without it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -446,11 +446,12 @@
   return work * time_per_unit() / limit_;
 }
 
-// The running limit: one more a window while cores idle and work waits; cut only when runs grow late on busy
-// cores; never under the core count.
+// The running limit: while cores idle and work waits it grows, once a window, by as many as the idle cores
+// would take and one at least; cut only when runs grow late on busy cores; never under the core count. Guards
+// many cores against idling for seconds while the limit climbs by ones and work is turned away.
 void policy::impl::steer_limit(double cpu_busy) {
   if (cpu_busy < idle_below && waiting_since_ + limit_window <= now_) {
-    limit_ += 1;
+    limit_ += std::max(1.0, (1 - cpu_busy) * limit_);
     waiting_since_ = now_;
   }
   if (cpu_busy > busy_above && time_per_unit() > late_runs * best_time_per_unit_) limit_ *= limit_cut;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -139,6 +139,23 @@
   EXPECT_EQ(r.ids<start>(), (ids{4}));
 }
 
+// Half of twelve cores wait for disks: six more runs find a core, and one more each half second would leave them
+// idle for seconds while work is turned away.
+TEST(Limit, GrowsByWhatTheIdleCoresTake) {
+  settings s = plain_settings();
+  s.cores = 12;
+  s.classes[0].aim = 30s;
+  s.classes[0].deadline = 60s;
+  rig r(s);
+  std::vector<event> many;
+  for (request_id id = 1; id <= 40; ++id) many.push_back(request_of(id));
+  r.send(many);
+  EXPECT_EQ(r.ids<start>().size(), 12u);
+  for (int i = 1; i <= 4; ++i) r.at(i * 100ms, {tick_with(0.5)});
+  r.at(500ms, {tick_with(0.5)});
+  EXPECT_EQ(r.ids<start>().size(), 6u);
+}
+
 TEST(Limit, StaysUnderTheSurvivableCrowd) {
   settings s = plain_settings();
   s.classes[0].aim = 100s;
