--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -69,7 +69,7 @@
 constexpr duration idle_least = 200ms;    // else: long enough for a further try at once
 constexpr double reuse_memory = 50;       // arrivals over which the returns of callers are averaged
 constexpr double reuse_worth = 0.5;       // share of callers back within idle_keep: under it none is awaited
-constexpr duration limit_window = 500ms;  // span of the gauge: sooner, it shows what was before
+constexpr duration limit_window = 250ms;  // between looks at the gauge: less than a burst takes to rise
 
 double to_seconds(duration d) {
   return std::chrono::duration<double>(d).count();
