Close no connection whose request is on its way, even in a full table

Checked: accept() closed at once what was unused, a connection taken in the same round and not read yet before all that had been heard, and a balancer's idle one as its next request was under way (dispensable() in front.cpp).

The tests full, filling, stall fail without; reload_drain is new.

--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -26,6 +26,7 @@
 
   // What this process holds.
   std::size_t connections = 900;  // of the descriptors, less what the program needs itself
+  double kept = 0.75;             // share of them that may stand before the unused are asked to go
   std::size_t uwsgi_connections =
       240;            // as many again may go to uwsgi servers: a flood leaves Thrift its own
   int backlog = 512;  // connections that wait while this process is stalled
--- a/src/net/connections.hpp
+++ b/src/net/connections.hpp
@@ -37,19 +37,21 @@
       if (open_.contains(c.get())) f(*c);
     }
   }
-  // The one with the least `rank`, a time; null where that is none for all.
-  template <typename F>
-  T* least(F rank) const {
-    T* found = nullptr;
-    std::optional<time_point> best;
-    for (const auto& [key, c] : open_) {
-      const std::optional<time_point> next = rank(*c);
-      if (next && (!best || *next < *best)) {
-        best = next;
-        found = c.get();
+  // The one to close for a new one: that with the least dispensable(), a time; null where that is none for all.
+  T* spare() const {
+    while (true) {
+      T* found = nullptr;
+      std::optional<time_point> best;
+      for (const auto& [key, c] : open_) {
+        const std::optional<time_point> next = c->dispensable();
+        if (next && (!best || *next < *best)) {
+          best = next;
+          found = c.get();
+        }
       }
+      if (found == nullptr || !found->stream_.unread()) return found;
+      found->arriving_ = true;
     }
-    return found;
   }
   std::size_t size() const { return open_.size(); }
   bool empty() const { return open_.empty(); }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -82,6 +82,14 @@
   if (!connecting_) flush();
 }
 
+bool stream::unread() const {
+  try {
+    return open_ && socket_.available() > 0;
+  } catch (const Poco::Exception&) {  // it is gone
+    return false;
+  }
+}
+
 void stream::lose(const char* why) {
   if (!open_) return;
   close();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -41,6 +41,8 @@
   bool is_open() const { return open_; }
   // Bytes of an unfinished message wait for the rest.
   bool half_read() const { return !in_.empty(); }
+  // Bytes have come that nobody has read yet: whoever closes now may lose a request.
+  bool unread() const;
   bool flushed() const { return out_.empty(); }
 
  private:
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "thrift/request.hpp"
 
@@ -25,7 +26,7 @@
   void let_go() {
     if (asked_to_close_) return;
     asked_to_close_ = true;
-    last_used_ = net::steady_now();
+    told_at_ = net::steady_now();
     stream_.send(encode_closing());
   }
 
@@ -44,7 +45,9 @@
   time_point last_used_ = net::steady_now();
   time_point half_since_{};  // 0 = nothing stands half-read
   unsigned strikes_ = 0;
-  bool heard_ = false;  // brought a whole message
+  unsigned messages_ = 0;  // whole ones that it brought; counts no further than matters
+  time_point told_at_{};   // asked to close
+  bool arriving_ = false;  // brought bytes that are not read yet
   bool asked_to_close_ = false;
   bool poisoned_ = false;
   bool finished_ = false;
@@ -55,6 +58,7 @@
 };
 
 std::size_t server::connection::on_bytes(std::string_view bytes) {
+  arriving_ = false;
   if (poisoned_) return bytes.size();  // read on, to see its end
   try {
     const std::optional<frame> f = next_frame(bytes, server_.config_.bounds);
@@ -65,7 +69,7 @@
     }
     last_used_ = net::steady_now();
     half_since_ = {};
-    heard_ = true;
+    messages_ = std::min(messages_ + 1, 2u);
     take(decode(f->payload, server_.config_.bounds));
     return f->size;
   } catch (const bad_frame& e) {
@@ -95,10 +99,11 @@
 }
 
 std::optional<time_point> server::connection::dispensable() const {
-  if (!open_.empty() || half_since_.count() > 0) return std::nullopt;
-  // Who was told to go comes first, then who never said anything.
-  if (finished_ || asked_to_close_) return time_point::min() + last_used_;
-  return heard_ ? last_used_ : time_point::min() / 2 + last_used_;
+  if (!open_.empty() || half_since_.count() > 0 || (arriving_ && !poisoned_)) return std::nullopt;
+  // Who was told to go comes first, then who never said anything, who asked once, and last who came back.
+  if (asked_to_close_) return time_point::min() + told_at_;
+  if (messages_ == 0) return time_point::min() / 2 + last_used_;
+  return messages_ == 1 ? time_point::min() / 4 + last_used_ : last_used_;
 }
 
 void server::connection::reject(std::int32_t seqid, app_error why, const std::string& text) {
@@ -158,7 +163,7 @@
   // Guards the descriptors: one more than these and the program could not reach its runtime.
   if (connections_.size() >= config_.bounds.connections) {
     // Guards balancers against hundreds that open connections and do not use them.
-    connection* const unused = connections_.least([](const connection& c) { return c.dispensable(); });
+    connection* const unused = connections_.spare();
     if (unused == nullptr) {
       ++counters_.turned_away;
       log("full", "connection closed at once, %zu stand", connections_.size());
@@ -221,7 +226,10 @@
 
 time_point server::step(time_point now) {
   if (now < next_sweep_) return next_sweep_;
+  // A sweep that comes late was held up with all else: what came meanwhile is read before anybody is judged.
+  const bool stalled = next_sweep_.count() > 0 && now > next_sweep_ + config_.bounds.sweep_every;
   next_sweep_ = now + config_.bounds.sweep_every;
+  if (stalled) return next_sweep_;
   const limits& bounds = config_.bounds;
   connections_.each([&](connection& c) {
     const duration unused = now - c.last_used_;
@@ -233,18 +241,44 @@
       drop(c);
     } else if (!c.open_.empty() || c.half_since_.count() > 0) {
       return;
-    } else if (c.poisoned_ || (c.asked_to_close_ && !leaving_ && unused > bounds.linger)) {
+    } else if (!c.poisoned_ && c.stream_.unread()) {
+      return;  // its request is here, and is read in this round
+    } else if (c.poisoned_ || (c.asked_to_close_ && !leaving_ && now - c.told_at_ > bounds.linger)) {
       c.finish();
-    } else if (!c.heard_ && unused > bounds.silent) {
+    } else if (c.messages_ == 0 && unused > bounds.silent) {
       ++counters_.silent;
       c.finish();
     } else if (unused > bounds.idle || (idle_after_.count() > 0 && unused > idle_after_)) {
       c.let_go();
     }
   });
+  thin_out();
   return next_sweep_;
 }
 
+// Asks the least wanted to go while there is room yet. Guards against closes in a full table, which cross requests
+// that are on their way: who was told has stopped sending by the time its place is needed.
+void server::thin_out() {
+  const auto most = static_cast<std::size_t>(config_.bounds.kept * static_cast<double>(config_.bounds.connections));
+  if (connections_.size() <= most) return;
+  std::size_t told = 0;
+  std::vector<std::pair<time_point, connection*>> unused;
+  connections_.each([&](connection& c) {
+    if (c.asked_to_close_) {
+      ++told;
+    } else if (const auto rank = c.dispensable()) {
+      unused.emplace_back(*rank, &c);
+    }
+  });
+  std::sort(unused.begin(), unused.end());
+  for (const auto& [rank, c] : unused) {
+    if (connections_.size() <= most + told) return;
+    if (c->stream_.unread()) continue;
+    c->let_go();
+    ++told;
+  }
+}
+
 void server::leave() {
   if (std::exchange(leaving_, true)) return;
   listener_.close();
--- a/src/thrift/front.hpp
+++ b/src/thrift/front.hpp
@@ -39,6 +39,7 @@
   void accept(const Poco::Net::StreamSocket& socket);
   void read(connection& from, const execute& what, std::int32_t seqid);
   void drop(connection& c);
+  void thin_out();
 
   net::reactor& reactor_;
   const config& config_;
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -26,14 +26,22 @@
     stream_.finish();
   }
 
+  // Those answered first, then those that have not sent a byte, the oldest of each.
+  std::optional<time_point> dispensable() const {
+    if (id_ != 0 || (!done_ && (arriving_ || stream_.half_read()))) return std::nullopt;
+    return done_ ? time_point::min() + since_ : since_;
+  }
+
   server& server_;
   net::stream stream_;
-  request_id id_ = 0;  // while its answer is owed
+  request_id id_ = 0;      // while its answer is owed
+  bool arriving_ = false;  // brought bytes that are not read yet
   bool done_ = false;
   time_point since_ = net::steady_now();  // of the connection, or of its response
 };
 
 std::size_t server::connection::on_bytes(std::string_view bytes) {
+  arriving_ = false;
   if (done_ || id_ != 0) return bytes.size();  // read on, to see its end
   try {
     const std::optional<packet> p = next_packet(bytes, server_.config_.bounds);
@@ -68,11 +76,7 @@
 
 void server::accept(const Poco::Net::StreamSocket& socket) {
   if (connections_.size() >= config_.bounds.uwsgi_connections) {
-    // Those answered first, then those that have not sent a byte, the oldest of each.
-    connection* const unused = connections_.least([](const connection& c) -> std::optional<time_point> {
-      if (c.id_ != 0 || (!c.done_ && c.stream_.half_read())) return std::nullopt;
-      return c.done_ ? time_point::min() + c.since_ : c.since_;
-    });
+    connection* const unused = connections_.spare();
     if (unused == nullptr) {
       ++counters_.turned_away;
       log("full", "uwsgi connection closed at once, %zu stand", connections_.size());
@@ -118,7 +122,10 @@
 
 time_point server::step(time_point now) {
   if (now < next_sweep_) return next_sweep_;
+  // A sweep that comes late was held up with all else: what came meanwhile is read before anybody is judged.
+  const bool stalled = next_sweep_.count() > 0 && now > next_sweep_ + config_.bounds.sweep_every;
   next_sweep_ = now + config_.bounds.sweep_every;
+  if (stalled) return next_sweep_;
   connections_.each([&](connection& c) {
     const duration patience = c.done_ ? config_.bounds.linger : config_.bounds.half_frame;
     if (c.id_ != 0 || now - c.since_ <= patience) return;
--- a/tests/net/node_test.cpp
+++ b/tests/net/node_test.cpp
@@ -326,6 +326,24 @@
   CHECK(read_reply(c).kind == "closing" && c.rest().empty());
 }
 
+// Guards callers against being taken for silent while it was the node that stood still.
+void a_stall_of_the_node_is_no_silence() {
+  runtime r;
+  node n(r);
+  r.up();
+  connection c = connection::to(n.port), half = connection::to(n.port);
+  const std::string second = execute(1, usual(2), "b");
+  half.send(second.substr(0, 40));
+  std::this_thread::sleep_for(300ms);  // taken in
+  n.signal(SIGSTOP);
+  c.send(execute(1, usual(1), "a"));
+  half.send(second.substr(40));
+  std::this_thread::sleep_for(2500ms);
+  n.signal(SIGCONT);
+  for (int i = 0; i < 2; ++i) r.end(r.expect("start"), "fine", "YQ==");
+  CHECK(read_reply(c).kind == "served" && read_reply(half).kind == "served");
+}
+
 // Guards balancers against hundreds that open connections and say nothing: those go, the oldest first, and no
 // connection that is in use.
 void silent_connections_shut_nobody_out() {
@@ -502,6 +520,70 @@
   CHECK(n.log().find("counters") != std::string::npos);
 }
 
+// Guards against a move that is forgotten, or ends the program, while it drains.
+void moves_while_it_drains() {
+  runtime old, next;
+  node n(old);
+  old.up();
+  connection c = connection::to(n.port);
+  c.send(execute(1, usual(1, "kurs-meldung"), "a"));
+  old.expect("start");
+  n.signal(SIGTERM);
+  n.logged("drain");
+  n.reload(next);
+  for (std::string line; old.link.next(line);) CHECK(old.answer_gauges(line));
+  next.up();
+  next.end(label(1), "fine", "YQ==");
+  CHECK(read_reply(c).kind == "served");
+  c.close();
+  CHECK(n.wait() == 0);
+}
+
+// Guards callers against a close that crosses their next request: before the table is full, who asked just once is
+// told to go, and who comes back is kept.
+void a_filling_table_asks_the_unused_to_go() {
+  runtime r;
+  node n(r, {.edit_from = "\"sockets\":1024", .edit_to = "\"sockets\":128"});  // 64 connections
+  r.up();
+  std::vector<connection> regular, once;
+  for (int i = 0; i < 60; ++i) {
+    std::vector<connection>& kind = i < 20 ? regular : once;
+    kind.push_back(connection::to(n.port));
+    for (int k = 1; k <= (i < 20 ? 2 : 1); ++k) {
+      kind.back().send(check(k));
+      CHECK(read_reply(kind.back()).seqid == k);
+    }
+  }
+  CHECK(read_reply(once.front()).kind == "closing");  // the longest unused of them
+  CHECK(read_reply(once[5]).kind == "closing");
+  for (connection& c : regular) CHECK(!c.readable(0));
+  CHECK(!once.back().readable(0));
+}
+
+// Guards a request that waits unread in the system, on a connection just taken or long unused, against the close
+// of that connection for the sake of a new one (seen as a request lost in a full table).
+void a_full_table_closes_nobody_whose_request_is_here() {
+  runtime r;
+  node n(r, {.edit_from = "\"sockets\":1024", .edit_to = "\"sockets\":128"});  // 64 connections
+  r.up();
+  std::vector<connection> unused;
+  for (int i = 0; i < 64; ++i) {
+    unused.push_back(connection::to(n.port));
+    unused.back().send(check(1));
+    read_reply(unused.back());
+  }
+  n.signal(SIGSTOP);
+  std::vector<connection> asking;
+  for (int i = 0; i < 20; ++i) {
+    asking.push_back(connection::to(n.port));
+    asking.back().send(check(1));
+  }
+  unused.front().send(check(2));  // the longest unused
+  n.signal(SIGCONT);
+  for (connection& c : asking) CHECK(read_reply(c).seqid == 1);
+  CHECK(read_reply(unused.front()).seqid == 2);
+}
+
 void prints_counters_on_request() {
   runtime r;
   node n(r);
@@ -556,6 +638,7 @@
       {"bad_messages", many_bad_messages_end_a_connection},
       {"huge", a_huge_message_is_turned_down_at_once_and_read_to_its_end},
       {"drip", a_message_that_only_drips_in_is_given_up},
+      {"stall", a_stall_of_the_node_is_no_silence},
       {"silent", silent_connections_shut_nobody_out},
       {"too_many", one_request_too_many_gets_an_exception},
       {"lost_link", a_lost_link_loses_no_run},
@@ -564,6 +647,9 @@
       {"new_runtime", a_new_runtime_fails_what_ran_in_the_old_one},
       {"late_runtime", a_runtime_that_comes_late_gets_what_waits},
       {"drain", drains},
+      {"reload_drain", moves_while_it_drains},
+      {"filling", a_filling_table_asks_the_unused_to_go},
+      {"full", a_full_table_closes_nobody_whose_request_is_here},
       {"counters", prints_counters_on_request},
       {"config", names_the_faulty_key},
   };
