--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -139,6 +139,7 @@
     } else {
       ++server_.counters_.bad_frames;
       log("bad-request", "oneway message ignored: %s", u.text.c_str());
+      strike();
     }
   }
 }
--- a/tests/net/node_test.cpp
+++ b/tests/net/node_test.cpp
@@ -296,6 +296,9 @@
   int exceptions = 0;
   while (read_reply(c).kind == "exception") ++exceptions;
   CHECK(exceptions > 0 && exceptions < 20 && c.rest().empty());
+  connection oneway = connection::to(n.port);  // nothing is owed to these, but an end is
+  for (int i = 1; i <= 20; ++i) oneway.send(frame(head(4, "destroy", i) + '\0'));
+  CHECK(read_reply(oneway).kind == "closing" && oneway.rest().empty());
 }
 
 // Guards against a close that resets: who still sends when it is given up could lose the answer with it.
