--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -126,29 +126,6 @@
   return all;
 }
 
-// `known`: the names that the values may mean; none = any.
-template <typename T>
-var_mapping mapping_of(const json::value& all, const std::string& key, const std::vector<T>& known) {
-  const json::value* given = member(all, key);
-  if (given == nullptr || given->what != json::kind::object)
-    throw bad_config(key + " is missing or no object");
-  var_mapping m;
-  try {
-    m.var = text_of(*given, "var");
-  } catch (const bad_config& e) {
-    throw bad_config(key + "." + e.what());
-  }
-  const json::value* values = member(*given, "values");
-  if (values == nullptr) return m;
-  for (const auto& [value, name] : values->members) {
-    const bool found =
-        std::any_of(known.begin(), known.end(), [&](const T& k) { return k.name == name.text; });
-    if (!found) throw bad_config(key + ".values." + value + " names nothing in the settings: " + name.text);
-    m.values.emplace(value, name.text);
-  }
-  return m;
-}
-
 }  // namespace
 
 config read_config(const std::string& text) {
@@ -175,35 +152,6 @@
   return c;
 }
 
-uwsgi_config read_uwsgi(const std::string& text, const wrenrill::settings& settings) {
-  const json::value all = parse_object(text, "the uwsgi file");
-  uwsgi_config c;
-  c.listen = endpoint_of(all, "listen");
-  const json::value* servers = member(all, "servers");
-  if (servers == nullptr || servers->items.empty()) throw bad_config("servers names no server");
-  for (std::size_t i = 0; i < servers->items.size(); ++i)
-    c.servers.push_back(to_endpoint(servers->items[i].text, "servers." + std::to_string(i)));
-  c.request_class = mapping_of(all, "class", settings.classes);
-  c.tenant = mapping_of(all, "tenant", settings.tenants);
-  c.default_cost.assign(settings.classes.size(), 0);
-  constexpr double most_ms = 1e6;
-  if (member(all, "cost") != nullptr) {
-    c.cost = mapping_of(all, "cost", std::vector<wrenrill::class_settings>{});
-    if (const json::value* defaults = member(*member(all, "cost"), "default_ms")) {
-      for (const auto& [name, ms] : defaults->members) {
-        const std::string path = "cost.default_ms." + name;
-        std::size_t i = 0;
-        while (i < settings.classes.size() && settings.classes[i].name != name) ++i;
-        if (i == settings.classes.size()) throw bad_config(path + " is no class");
-        c.default_cost[i] = number_of(*defaults, name, path, 0, 0, most_ms);
-      }
-    }
-  }
-  constexpr double usual_held_kb = 40;  // the middle of what the operators book
-  c.held_kb = number_of(all, "held_kb", "held_kb", usual_held_kb, 0.1, 2000);
-  return c;
-}
-
 void turn_on_uwsgi(config& c, uwsgi_config mapping) {
   // A quarter for its callers and a quarter for what runs on its servers; Thrift keeps the half that
   // balancers open at the most.
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -31,7 +31,7 @@
   std::map<std::string, std::string, std::less<>> values;
 };
 
-// The second front, from the operator's file.
+// The second front, from the operator's file (config/operator_file).
 struct uwsgi_config {
   endpoint listen;
   std::vector<endpoint> servers;
@@ -42,6 +42,23 @@
   double held_kb = 0;                // booked for each request while it is held
 };
 
+// Results of keyed requests kept across restarts, from the operator's file.
+struct keyed_config {
+  std::string folder;
+  std::string uwsgi_var;     // tells the key; empty: that front gives none
+  std::string thrift_field;  // the same
+  std::size_t longest_key = 255;                        // bytes
+  std::uint64_t space = std::uint64_t{1} << 30;         // bytes of the folder
+  std::uint64_t segment = std::uint64_t{8} << 20;       // bytes of one file in it
+  std::uint64_t entries = 1'000'000;                    // keys known at once
+  std::vector<std::chrono::nanoseconds> windows;        // by class: how long a repeat may come; 0 = not keyed
+  std::chrono::nanoseconds finish_within = std::chrono::seconds(10);  // of a run that was given up
+  std::chrono::nanoseconds retry_disk = std::chrono::milliseconds(500);
+  std::string inquiry_var, inquiry_value;  // what asks a server for the outcome of a write; empty: none does
+  unsigned inquiry_tries = 3;
+  std::chrono::nanoseconds inquiry_pause = std::chrono::milliseconds(200);  // before the second; then doubled
+};
+
 struct config {
   std::string name;
   endpoint listen;
@@ -51,6 +68,7 @@
   limits bounds;
   wrenrill::settings settings;
   std::optional<uwsgi_config> uwsgi;  // none: that front is off
+  std::optional<keyed_config> keyed;  // none: no request has a key
 };
 
 // Reads the text of a configuration file.
@@ -59,9 +77,6 @@
 // Turns the second front on: part of the connections are its own from then on.
 void turn_on_uwsgi(config& c, uwsgi_config mapping);
 
-// Reads the text of an operator's uwsgi file; names of classes and tenants are those of the settings.
-uwsgi_config read_uwsgi(const std::string& text, const wrenrill::settings& settings);
-
 // The text of a file; `what` names it in the message of the failure.
 std::string read_file(const char* path, const char* what);
 
--- /dev/null
+++ b/src/config/operator_file.cpp
@@ -0,0 +1,274 @@
+#include "config/operator_file.hpp"
+
+#include <confuse.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstdarg>
+#include <cstdio>
+#include <cstring>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "config/units.hpp"
+
+namespace marblewharf {
+namespace {
+
+// What libconfuse tells while it parses: it hands no context to its callbacks, so one parse at a time in a
+// thread leaves its notes here.
+struct notes {
+  std::map<const cfg_opt_t*, int> lines;  // where each value stands
+  std::string fault;                      // the first one
+};
+thread_local notes* current = nullptr;
+
+int note_line(cfg_t* cfg, cfg_opt_t* opt) {
+  current->lines[opt] = cfg->line;
+  return 0;
+}
+
+[[gnu::format(printf, 2, 0)]] void note_fault(cfg_t* cfg, const char* format, va_list arguments) {
+  if (!current->fault.empty()) return;
+  char text[512];
+  std::vsnprintf(text, sizeof text, format, arguments);
+  const int line = cfg != nullptr ? cfg->line : 0;
+  current->fault = std::to_string(line) + ": " + text;
+}
+
+struct freed {
+  void operator()(cfg_t* cfg) const { cfg_free(cfg); }
+};
+
+// One section of the file, and the messages about what stands in it.
+class section {
+ public:
+  section(cfg_t* cfg, const notes& n, const std::string& path, std::string name)
+      : cfg_(cfg), notes_(n), path_(path), name_(std::move(name)) {}
+
+  bool has(const char* key) const { return cfg_size(cfg_, key) > 0; }
+  std::string text(const char* key) const {
+    const char* value = cfg_getstr(cfg_, key);
+    return value != nullptr ? value : "";
+  }
+  std::string needed(const char* key) const {
+    if (text(key).empty()) fail(key, "is missing");
+    return text(key);
+  }
+  std::vector<std::string> list(const char* key) const {
+    std::vector<std::string> items;
+    for (unsigned i = 0; i < cfg_size(cfg_, key); ++i) items.emplace_back(cfg_getnstr(cfg_, key, i));
+    return items;
+  }
+  std::chrono::nanoseconds time(const char* key, std::chrono::nanoseconds least,
+                                std::chrono::nanoseconds most) const {
+    const auto value = parse_time(text(key));
+    if (!value) fail(key, "is no time such as 90s or 24h", text(key));
+    if (*value < least || *value > most) fail(key, "is out of bounds", text(key));
+    return *value;
+  }
+  std::uint64_t bytes(const char* key, std::uint64_t least, std::uint64_t most) const {
+    return within(key, parse_bytes(text(key)), "is no size such as 64MiB", least, most);
+  }
+  std::uint64_t count(const char* key, std::uint64_t least, std::uint64_t most) const {
+    return within(key, parse_count(text(key)), "is no whole number", least, most);
+  }
+  bool flag(const char* key) const {
+    const std::string value = text(key);
+    if (value == "yes" || value == "on" || value == "true") return true;
+    if (value == "no" || value == "off" || value == "false") return false;
+    fail(key, "is neither yes nor no", value);
+  }
+  endpoint address(const char* key, const std::string& value) const {
+    const std::size_t colon = value.rfind(':');
+    unsigned port = 0;
+    const char* end = value.data() + value.size();
+    if (colon == std::string::npos || colon == 0 ||
+        std::from_chars(value.data() + colon + 1, end, port).ptr != end || port > 65535)
+      fail(key, "is no host:port", value);
+    return {value.substr(0, colon), static_cast<std::uint16_t>(port)};
+  }
+
+  [[noreturn]] void fail(const char* key, const std::string& what, const std::string& found = {}) const {
+    const cfg_opt_t* opt = key != nullptr ? cfg_getopt(cfg_, key) : nullptr;
+    const auto at = notes_.lines.find(opt);
+    const int line = at != notes_.lines.end() ? at->second : cfg_->line;
+    std::string text = path_ + ":" + std::to_string(line) + ": " + name_;
+    if (key != nullptr) text += std::string(".") + key;
+    text += " " + what;
+    if (!found.empty()) text += ": \"" + found + "\"";
+    if (at == notes_.lines.end()) text += " (the section ends on this line)";  // libconfuse keeps no other
+    throw bad_config(text);
+  }
+
+ private:
+  std::uint64_t within(const char* key, std::optional<std::uint64_t> value, const char* what, std::uint64_t least,
+                       std::uint64_t most) const {
+    if (!value) fail(key, what, text(key));
+    if (*value < least || *value > most)
+      fail(key, "is not from " + std::to_string(least) + " to " + std::to_string(most), text(key));
+    return *value;
+  }
+
+  cfg_t* cfg_;
+  const notes& notes_;
+  const std::string& path_;
+  std::string name_;
+};
+
+class operator_file {
+ public:
+  explicit operator_file(const std::string& path) : path_(path) {
+    // The table of what may stand in the file. Values are texts: units and bounds are judged by us, with the line.
+    static cfg_opt_t uwsgi[] = {CFG_STR("listen", nullptr, CFGF_NONE),
+                                CFG_STR_LIST("servers", nullptr, CFGF_NONE),
+                                CFG_STR("class_var", nullptr, CFGF_NONE),
+                                CFG_STR("tenant_var", nullptr, CFGF_NONE),
+                                CFG_STR("cost_var", nullptr, CFGF_NONE),
+                                CFG_STR("held", "40KiB", CFGF_NONE),
+                                CFG_END()};
+    static cfg_opt_t request_class[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE),
+                                        CFG_STR("uwsgi_cost", nullptr, CFGF_NONE), CFG_STR("keyed", "no", CFGF_NONE),
+                                        CFG_STR("window", "24h", CFGF_NONE), CFG_END()};
+    static cfg_opt_t tenant[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE), CFG_END()};
+    static cfg_opt_t keyed[] = {CFG_STR("folder", nullptr, CFGF_NONE),
+                                CFG_STR("uwsgi_var", nullptr, CFGF_NONE),
+                                CFG_STR("thrift_field", nullptr, CFGF_NONE),
+                                CFG_STR("longest_key", "255", CFGF_NONE),
+                                CFG_STR("space", "1GiB", CFGF_NONE),
+                                CFG_STR("entries", "1000000", CFGF_NONE),
+                                CFG_STR("segment", "8MiB", CFGF_NONE),
+                                CFG_STR("finish_within", "10s", CFGF_NONE),
+                                CFG_STR("retry_disk", "500ms", CFGF_NONE),
+                                CFG_STR("inquiry_var", nullptr, CFGF_NONE),
+                                CFG_STR("inquiry_value", nullptr, CFGF_NONE),
+                                CFG_STR("inquiry_tries", "3", CFGF_NONE),
+                                CFG_STR("inquiry_pause", "200ms", CFGF_NONE),
+                                CFG_END()};
+    static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
+                              CFG_SEC("class", request_class, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
+                              CFG_SEC("tenant", tenant, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES), CFG_END()};
+    cfg_.reset(cfg_init(all, CFGF_NONE));
+    cfg_set_error_function(cfg_.get(), note_fault);
+    for (const auto& [name, options] :
+         {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant}}) {
+      for (const cfg_opt_t* o = options; o->name != nullptr; ++o)
+        cfg_set_validate_func(cfg_.get(), (std::string(name) + "|" + o->name).c_str(), note_line);
+    }
+    current = &notes_;
+    const int how = cfg_parse(cfg_.get(), path.c_str());
+    current = nullptr;
+    if (how == CFG_FILE_ERROR) throw bad_config(path + ": cannot be read: " + std::strerror(errno));
+    if (how != CFG_SUCCESS) throw bad_config(path + ":" + (notes_.fault.empty() ? "0: no settings" : notes_.fault));
+  }
+
+  void apply(config& c) const {
+    uwsgi_config second;
+    keyed_config keys;
+    second.default_cost.assign(c.settings.classes.size(), 0);
+    keys.windows.assign(c.settings.classes.size(), {});
+    read_classes(c.settings, second, keys);
+    each("tenant", [&](const section& s, const std::string& title) {
+      index_of(s, c.settings.tenants, title);
+      map_values(s, second.tenant, title);
+    });
+    if (cfg_size(cfg_.get(), "uwsgi") > 0) turn_on_uwsgi(c, read_uwsgi(std::move(second)));
+    if (cfg_size(cfg_.get(), "keyed") > 0) {
+      c.keyed = read_keyed(c, std::move(keys));
+    } else if (std::any_of(keys.windows.begin(), keys.windows.end(), [](auto w) { return w.count() > 0; })) {
+      throw bad_config(path_ + ":0: keyed is missing, and a class has keyed = yes");
+    }
+  }
+
+ private:
+  template <typename F>
+  void each(const char* kind, F&& f) const {
+    for (unsigned i = 0; i < cfg_size(cfg_.get(), kind); ++i) {
+      cfg_t* one = cfg_getnsec(cfg_.get(), kind, i);
+      const std::string title = cfg_title(one);
+      f(section(one, notes_, path_, std::string(kind) + " \"" + title + "\""), title);
+    }
+  }
+  section only(const char* kind) const { return {cfg_getsec(cfg_.get(), kind), notes_, path_, kind}; }
+
+  template <typename T>
+  std::size_t index_of(const section& s, const std::vector<T>& known, const std::string& title) const {
+    const auto at = std::find_if(known.begin(), known.end(), [&](const T& k) { return k.name == title; });
+    if (at == known.end()) s.fail(nullptr, "names nothing in the settings");
+    return static_cast<std::size_t>(at - known.begin());
+  }
+  static void map_values(const section& s, var_mapping& m, const std::string& title) {
+    for (const std::string& value : s.list("uwsgi_values")) {
+      if (!m.values.emplace(value, title).second) s.fail("uwsgi_values", "names a value twice", value);
+    }
+  }
+
+  void read_classes(const wrenrill::settings& known, uwsgi_config& second, keyed_config& keys) const {
+    constexpr auto most_cost = std::chrono::seconds(1000);
+    constexpr auto longest = std::chrono::hours(24 * 400);
+    each("class", [&](const section& s, const std::string& title) {
+      const std::size_t i = index_of(s, known.classes, title);
+      map_values(s, second.request_class, title);
+      if (!s.text("uwsgi_cost").empty())
+        second.default_cost[i] =
+            std::chrono::duration<double, std::milli>(s.time("uwsgi_cost", {}, most_cost)).count();
+      if (!s.flag("keyed")) return;
+      // A request may be open for its whole deadline: a key that ages out before could run twice.
+      keys.windows[i] = s.time("window", known.classes[i].deadline * 2, longest);
+    });
+  }
+
+  uwsgi_config read_uwsgi(uwsgi_config u) const {
+    const section s = only("uwsgi");
+    u.listen = s.address("listen", s.needed("listen"));
+    for (const std::string& server : s.list("servers")) u.servers.push_back(s.address("servers", server));
+    if (u.servers.empty()) s.fail("servers", "names no server");
+    u.request_class.var = s.needed("class_var");
+    u.tenant.var = s.needed("tenant_var");
+    u.cost.var = s.text("cost_var");
+    constexpr double kib = 1024;
+    u.held_kb = static_cast<double>(s.bytes("held", 100, 2000 * 1024)) / kib;
+    return u;
+  }
+
+  keyed_config read_keyed(const config& c, keyed_config k) const {
+    using namespace std::chrono_literals;
+    const section s = only("keyed");
+    k.folder = s.needed("folder");
+    k.uwsgi_var = s.text("uwsgi_var");
+    k.thrift_field = s.text("thrift_field");
+    if (k.uwsgi_var.empty() && k.thrift_field.empty()) s.fail("uwsgi_var", "and thrift_field are both missing");
+    if (c.uwsgi && k.uwsgi_var.empty()) s.fail("uwsgi_var", "is missing, and uwsgi is on");
+    k.longest_key = s.count("longest_key", 8, 1024);
+    k.segment = s.bytes("segment", 64 << 10, std::uint64_t{1} << 30);
+    k.space = s.bytes("space", 4 * k.segment, std::uint64_t{1} << 50);
+    k.entries = s.count("entries", 16, 100'000'000);
+    k.finish_within = s.time("finish_within", 0s, 3600s);
+    k.retry_disk = s.time("retry_disk", 10ms, 3600s);
+    k.inquiry_var = s.text("inquiry_var");
+    k.inquiry_value = s.text("inquiry_value");
+    if (k.inquiry_var.empty() != k.inquiry_value.empty())
+      s.fail("inquiry_var", "and inquiry_value go together");
+    if (!k.inquiry_var.empty() && !c.uwsgi) s.fail("inquiry_var", "is set, and uwsgi is off");
+    k.inquiry_tries = static_cast<unsigned>(s.count("inquiry_tries", 1, 100));
+    k.inquiry_pause = s.time("inquiry_pause", 1ms, 60s);
+    if (std::none_of(k.windows.begin(), k.windows.end(), [](auto w) { return w.count() > 0; }))
+      s.fail(nullptr, "is on, and no class has keyed = yes");
+    return k;
+  }
+
+  const std::string path_;
+  notes notes_;
+  std::unique_ptr<cfg_t, freed> cfg_;
+};
+
+}  // namespace
+
+void apply_operator_file(config& c, const std::string& path) {
+  operator_file(path).apply(c);
+}
+
+}  // namespace marblewharf
--- /dev/null
+++ b/src/node/serve.cpp
@@ -0,0 +1,124 @@
+#include "node/serve.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <exception>
+#include <optional>
+#include <vector>
+
+#include "catalog/reporter.hpp"
+#include "core/dispatcher.hpp"
+#include "net/reactor.hpp"
+#include "runtime/link.hpp"
+#include "telemetry/telemetry.hpp"
+#include "thrift/front.hpp"
+#include "uwsgi/client.hpp"
+#include "uwsgi/front.hpp"
+
+namespace marblewharf::node {
+namespace {
+
+volatile std::sig_atomic_t asked_to_leave = 0;
+volatile std::sig_atomic_t asked_for_counters = 0;
+volatile std::sig_atomic_t asked_to_reload = 0;
+
+void on_signal(int which) {
+  if (which == SIGUSR1) {
+    asked_for_counters = 1;
+  } else if (which == SIGHUP) {
+    asked_to_reload = 1;
+  } else {
+    asked_to_leave = 1;
+  }
+}
+
+// Where the runtime and the catalog are may change while the program runs; a file that cannot be used changes
+// nothing.
+void reload(const config& settings, runtime::link& runtime, catalog::reporter& reporter) {
+  try {
+    const config fresh = load_config();
+    const auto runtime_at = net::address_of(fresh.runtime, "runtime");
+    const auto directory_at = net::address_of(fresh.directory, "directory");
+    telemetry::log("reload", "runtime at %s, catalog at %s", runtime_at.toString().c_str(),
+                   directory_at.toString().c_str());
+    if (fresh.name != settings.name || fresh.listen != settings.listen)
+      telemetry::log("reload", "name or listen differs: that takes a restart");
+    runtime.move(runtime_at);
+    reporter.move(directory_at);
+  } catch (const std::exception& e) {
+    telemetry::log("reload", "the old configuration stays: %s", e.what());
+  }
+}
+
+}  // namespace
+
+void serve(const config& settings, net::tap* tap) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, on_signal);
+  std::signal(SIGINT, on_signal);
+  std::signal(SIGUSR1, on_signal);
+  std::signal(SIGHUP, on_signal);
+  const limits& bounds = settings.bounds;
+  telemetry::counters counters;
+  net::reactor reactor(bounds);
+  reactor.listen_in(tap);
+  dispatcher desk(settings.settings, settings.seed, net::steady_now(), counters);
+  runtime::link runtime(reactor, settings, desk, counters);
+  catalog::reporter reporter(settings);
+  thrift::server front(reactor, settings, desk, runtime, counters);
+  std::optional<uwsgi::client> servers;
+  std::optional<uwsgi::server> second_front;
+  if (settings.uwsgi) {
+    servers.emplace(reactor, settings, desk);
+    second_front.emplace(reactor, settings, desk, *servers, counters);
+    telemetry::log("start", "uwsgi on %s:%u", settings.uwsgi->listen.host.c_str(),
+                   static_cast<unsigned>(settings.uwsgi->listen.port));
+  }
+  time_point leave_at = time_point::max();
+  telemetry::log("start", "%s listens on %s:%u", settings.name.c_str(), settings.listen.host.c_str(),
+                 static_cast<unsigned>(settings.listen.port));
+
+  std::optional<std::size_t> busy;  // where the gauges tell how busy the cores are
+  const auto& names = settings.settings.gauges;
+  if (const auto at = std::find(names.begin(), names.end(), "cpu_busy"); at != names.end())
+    busy = static_cast<std::size_t>(at - names.begin());
+
+  reactor.serve([&]() -> time_point {
+    const time_point now = net::steady_now();
+    if (asked_for_counters != 0) {
+      asked_for_counters = 0;
+      telemetry::print(counters);
+    }
+    if (asked_to_reload != 0) {
+      asked_to_reload = 0;
+      reload(settings, runtime, reporter);
+    }
+    if (asked_to_leave != 0 && !desk.draining()) {
+      telemetry::log("drain", "notice to leave, %zu requests open", desk.open());
+      leave_at = now + bounds.stop;
+      desk.on_drain(bounds.stop);
+    }
+    std::vector<double> gauges = runtime.gauges(now);
+    // The runtime's gauges know nothing of what runs on uwsgi servers beside it, on the same cores.
+    if (busy && *busy < gauges.size() && servers) {
+      const double more = static_cast<double>(servers->running()) / settings.settings.cores;
+      gauges[*busy] = std::min(1.0, gauges[*busy] + more);
+    }
+    desk.step(now, gauges);
+    if (desk.draining()) {
+      const bool leaving = now >= leave_at - bounds.leave_early;
+      if (leaving) front.leave();
+      if (leaving && second_front) second_front->leave();
+      const bool empty = front.empty() && (!second_front || second_front->empty());
+      if (now >= leave_at - bounds.exit_early || (leaving && empty)) reactor.stop();
+    }
+    const time_point due =
+        std::min({desk.due(), runtime.step(now), reporter.step(now, desk.healthy()), front.step(now),
+                  second_front ? second_front->step(now) : time_point::max()});
+    return desk.due() < now ? now : due;
+  });
+  telemetry::log("stop", "%zu requests open", desk.open());
+  telemetry::print(counters);
+}
+
+}  // namespace marblewharf::node
--- /dev/null
+++ b/src/node/serve.hpp
@@ -0,0 +1,12 @@
+// The node as a whole: fronts, backends and the dispatcher in one reactor, until it is told to leave.
+#pragma once
+
+#include "config/config.hpp"
+#include "net/tap.hpp"
+
+namespace marblewharf::node {
+
+// Takes the process's signals. Returns when the node has left; throws what keeps it from starting.
+void serve(const config& settings, net::tap* tap);
+
+}  // namespace marblewharf::node
--- a/src/pcap/main.cpp
+++ b/src/pcap/main.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 
+#include "config/operator_file.hpp"
 #include "pcap/reader.hpp"
 #include "pcap/writer.hpp"
 
@@ -29,7 +30,7 @@
 
 struct command {
   std::string what, file, out;
-  std::optional<std::string> config, mapping;
+  std::optional<std::string> config, operators;
   selection select;
   pcap::read_options read;
 };
@@ -66,8 +67,8 @@
       c.out = value;
     else if (option == "--config")
       c.config = value;
-    else if (option == "--uwsgi")
-      c.mapping = value;
+    else if (option == "--settings")
+      c.operators = value;
     else if (option == "--thrift-port")
       c.read.thrift_port = static_cast<std::uint16_t>(to_number(value, option, 65535));
     else if (option == "--uwsgi-port")
@@ -76,7 +77,7 @@
       throw usage("no option: " + option);
   }
   if (c.what == "filter" && c.out.empty()) throw usage("filter wants --out FILE");
-  if (c.mapping && !c.config) throw usage("--uwsgi names classes of a --config FILE");
+  if (c.operators && !c.config) throw usage("--settings names classes of a --config FILE");
   return c;
 }
 
@@ -139,11 +140,12 @@
 int run(command c) {
   vocabulary names;
   if (c.config) {
-    const wrenrill::settings s = read_config(read_file(c.config->c_str(), "--config")).settings;
-    names = vocabulary(s);
-    if (c.mapping) c.read.mapping = read_uwsgi(read_file(c.mapping->c_str(), "--uwsgi"), s);
+    config all = read_config(read_file(c.config->c_str(), "--config"));
+    names = vocabulary(all.settings);
+    if (c.operators) apply_operator_file(all, *c.operators);
+    if (all.uwsgi) c.read.mapping = *all.uwsgi;
   }
-  if (!c.mapping) {
+  if (c.read.mapping.request_class.var.empty()) {
     c.read.mapping.request_class.var = "PATH_INFO";
     c.read.mapping.tenant.var = "REMOTE_USER";
   }
@@ -190,7 +192,7 @@
         "marblewharf_pcap: %s\n"
         "usage: marblewharf_pcap list|summary|filter FILE [--class NAME] [--tenant NAME]\n"
         "       [--protocol thrift|uwsgi] [--from UNIX_S] [--to UNIX_S] [--thrift-port N] [--uwsgi-port N]\n"
-        "       [--config FILE [--uwsgi FILE]] [--out FILE]\n",
+        "       [--config FILE [--settings FILE]] [--out FILE]\n",
         e.what());
     return usage_error;
   } catch (const std::exception& e) {
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -220,7 +220,7 @@
   int aim_ms = 20000;  // far beyond a slow machine's delays, where a test is not about time
   int write_aim_ms = 20000;
   int quota = 100, other_quota = 100;  // requests a second of isar-invest and lech-vermoegen
-  std::string uwsgi{};                 // text of an operator's file
+  std::string operators{};             // text of an operator's file
   std::string record{};                // a capture file to write
   std::string edit_from{}, edit_to{};  // in the text of the configuration
   int directory_port = 0;              // 0: as the node's own
@@ -233,7 +233,7 @@
     CHECK(::mkdtemp(dir) != nullptr);
     dir_ = dir;
     write_config(r, o);
-    if (!o.uwsgi.empty()) std::ofstream(dir_ + "/uwsgi.json") << o.uwsgi;
+    if (!o.operators.empty()) std::ofstream(dir_ + "/operators.conf") << o.operators;
     pid_ = ::fork();
     CHECK(pid_ >= 0);
     if (pid_ == 0) {
@@ -242,7 +242,7 @@
       ::dup2(log, 2);
       ::setenv("PROXY_CONFIG", (dir_ + "/config.json").c_str(), 1);
       std::vector<std::string> words = {"marblewharf"};
-      if (!o.uwsgi.empty()) words.insert(words.end(), {"--uwsgi", dir_ + "/uwsgi.json"});
+      if (!o.operators.empty()) words.insert(words.end(), {"--settings", dir_ + "/operators.conf"});
       if (!o.record.empty()) words.insert(words.end(), {"--record", o.record});
       std::vector<char*> arguments;
       for (std::string& w : words) arguments.push_back(w.data());
@@ -256,7 +256,7 @@
       ::kill(pid_, SIGKILL);
       ::waitpid(pid_, nullptr, 0);
     }
-    for (const char* file : {"/config.json", "/uwsgi.json", "/log"}) ::unlink((dir_ + file).c_str());
+    for (const char* file : {"/config.json", "/operators.conf", "/log"}) ::unlink((dir_ + file).c_str());
     ::rmdir(dir_.c_str());
   }
   void write_config(const runtime& r, const node_options& o) const {
--- /dev/null
+++ b/tests/net/settings_test.cpp
@@ -0,0 +1,112 @@
+// The operator's file: what it means, and that each fault names file, line and key.
+#include <unistd.h>
+
+#include <fstream>
+#include <functional>
+#include <map>
+
+#include "config/operator_file.hpp"
+#include "config/units.hpp"
+#include "harness.hpp"
+
+using namespace marblewharf;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string work_folder() {
+  static const std::string folder = [] {
+    char name[] = "/tmp/marblewharf-settings-XXXXXX";
+    CHECK(::mkdtemp(name) != nullptr);
+    return std::string(name);
+  }();
+  return folder;
+}
+
+config platform() {
+  config c;
+  c.settings.cores = 1;
+  c.settings.classes.push_back({.name = "kurs-abfrage", .aim = 500ms, .deadline = 2s});
+  c.settings.classes.push_back({.name = "kurs-meldung", .aim = 1s, .deadline = 3s});
+  c.settings.tenants.push_back({.name = "isar-invest", .quota = 5});
+  return c;
+}
+
+config read(const std::string& text) {
+  const std::string path = work_folder() + "/node.conf";
+  std::ofstream(path) << text;
+  config c = platform();
+  apply_operator_file(c, path);
+  return c;
+}
+
+std::string fault(const std::string& text) {
+  try {
+    read(text);
+  } catch (const bad_config& e) {
+    return std::string(e.what()).substr(work_folder().size());
+  }
+  return "none";
+}
+
+const std::string keyed =
+    "keyed {\n  folder = \"/tmp/x\"\n  thrift_field = key\n}\nclass kurs-meldung {\n  keyed = yes\n}\n";
+
+void means_what_it_says() {
+  const config c = read(
+      "# comment\nuwsgi {\n  listen = \"127.0.0.1:3030\"\n  servers = {\"127.0.0.1:1\", \"127.0.0.1:2\"}\n"
+      "  class_var = P\n  tenant_var = T\n  held = 8KiB\n}\nclass kurs-meldung {\n  uwsgi_values = {\"/a\", \"/b\"}\n"
+      "  uwsgi_cost = 1.5s\n  keyed = yes\n  window = 90s\n}\ntenant isar-invest { uwsgi_values = {i} }\n"
+      "keyed {\n  folder = \"/tmp/x\"\n  uwsgi_var = K\n  space = 64MiB\n}\n");
+  CHECK(c.uwsgi && c.uwsgi->servers.size() == 2 && c.uwsgi->servers[1].port == 2);
+  CHECK(c.uwsgi->request_class.values.at("/b") == "kurs-meldung" && c.uwsgi->tenant.values.at("i") == "isar-invest");
+  CHECK(c.uwsgi->default_cost[1] == 1500 && c.uwsgi->held_kb == 8);
+  CHECK(c.keyed && c.keyed->windows[0] == 0s && c.keyed->windows[1] == 90s && c.keyed->space == 64u << 20);
+  CHECK(!read("").uwsgi && !read("").keyed);
+}
+
+void names_file_line_and_key() {
+  const std::map<std::string, std::string> faults = {
+      {"uwsgi {\n\n  listen = nowhere\n}\n", "/node.conf:3: uwsgi.listen is no host:port: \"nowhere\""},
+      {"uwsgi {\n  listne = x\n}\n", "/node.conf:2: no such option 'listne'"},
+      {"class kurs-foo {\n}\n", "/node.conf:2: class \"kurs-foo\" names nothing in the settings (the section ends on this line)"},
+      {"class kurs-meldung {\n  keyed = maybe\n}\n",
+       "/node.conf:2: class \"kurs-meldung\".keyed is neither yes nor no: \"maybe\""},
+      {"class kurs-meldung {\n  keyed = yes\n}\n", "/node.conf:0: keyed is missing, and a class has keyed = yes"},
+      {keyed + "class kurs-abfrage {\n  keyed = yes\n  window = 3s\n}\n",
+       "/node.conf:10: class \"kurs-abfrage\".window is out of bounds: \"3s\""},
+      {"keyed {\n  folder = a\n  thrift_field = k\n  space = 12parsecs\n}\n",
+       "/node.conf:4: keyed.space is no size such as 64MiB: \"12parsecs\""},
+      {"keyed {\n  folder = a\n}\n", "/node.conf:3: keyed.uwsgi_var and thrift_field are both missing (the section ends on this line)"},
+  };
+  for (const auto& [text, message] : faults) {
+    if (fault(text) != message) std::fprintf(stderr, "got: %s\n", fault(text).c_str());
+    CHECK(fault(text) == message);
+  }
+  CHECK(fault(keyed) == "none");
+  try {
+    config c = platform();
+    apply_operator_file(c, work_folder() + "/none.conf");
+    CHECK(false);
+  } catch (const bad_config& e) {
+    CHECK(std::string(e.what()).find("none.conf: cannot be read") != std::string::npos);
+  }
+}
+
+void units() {
+  CHECK(parse_time("90s") == 90s && parse_time("1.5h") == 90min && parse_time("250us") == 250us);
+  for (const char* bad : {"", "s", "90", "-1s", "1e3s", "90 s", "1000000d", "inf s", "nans"}) CHECK(!parse_time(bad));
+  CHECK(parse_bytes("64MiB") == 64u << 20 && parse_bytes("512") == 512u && !parse_bytes("1MB"));
+  CHECK(parse_count("7") == 7u && !parse_count("7.5") && !parse_count("") && !parse_count("99999999999999999999"));
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {
+      {"means", means_what_it_says}, {"faults", names_file_line_and_key}, {"units", units}};
+  tests.at(argv[1])();
+  ::unlink((work_folder() + "/node.conf").c_str());
+  ::rmdir(work_folder().c_str());
+  return 0;
+}
--- a/tests/net/uwsgi_test.cpp
+++ b/tests/net/uwsgi_test.cpp
@@ -31,11 +31,12 @@
 struct site {
   explicit site(node_options o = {}) : uwsgi_port(free_port()) {
     const std::string host = "\"" + own_host() + ":";
-    o.uwsgi = "{\"listen\":" + host + std::to_string(uwsgi_port) + "\",\"servers\":[" + host +
-              std::to_string(first.port) + "\"," + host + std::to_string(second.port) +
-              "\"],\"class\":{\"var\":\"PATH_INFO\",\"values\":{\"/kurs/abfrage\":\"kurs-abfrage\","
-              "\"/kurs/meldung\":\"kurs-meldung\"}},\"tenant\":{\"var\":\"REMOTE_USER\"},"
-              "\"cost\":{\"var\":\"COST_MS\",\"default_ms\":{\"kurs-abfrage\":12.5,\"kurs-meldung\":12.5}}}";
+    o.operators = "uwsgi {\n listen = " + host + std::to_string(uwsgi_port) + "\"\n servers = {" + host +
+                  std::to_string(first.port) + "\", " + host + std::to_string(second.port) +
+                  "\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n cost_var = COST_MS\n}\n"
+                  "class kurs-abfrage {\n uwsgi_values = {\"/kurs/abfrage\"}\n uwsgi_cost = 12.5ms\n}\n"
+                  "class kurs-meldung {\n uwsgi_values = {\"/kurs/meldung\"}\n uwsgi_cost = 12.5ms\n}\n" +
+                  o.operators;
     n = std::make_unique<node>(r, o);
     r.up();
   }
