Gather answers from several dependencies, each under its own budget, with partial answers

Change: src/dependencies decides on the calls of all requests in modules free of I/O: plans and their checks, budgets, shares of further attempts and second copies, a limit on calls in flight that follows latency, endpoints held out and taken back, stand-ins. The gatherer makes the calls over uwsgi and answers as multipart/mixed, each part marked. The module's call_needed, place_call, skip_call and call_ended come through admission and dispatcher, a gathering being one call of its run. The uwsgi client and the gatherer share one exchange.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -170,6 +170,15 @@
   c.keyed = std::move(keys);
 }
 
+void turn_on_dependencies(config& c, dependencies_config all) {
+  if (!c.uwsgi) throw bad_config("parts are gathered for uwsgi requests, and uwsgi is off");
+  for (const dependencies::plan& p : all.plans) {
+    for (wrenrill::class_settings& k : c.settings.classes) k.calls = k.calls || k.name == p.request_class;
+  }
+  c.uwsgi->hash_content = true;
+  c.dependencies = std::move(all);
+}
+
 std::string read_file(const char* path, const char* what) {
   std::ifstream file(path);
   std::ostringstream text;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/limits.hpp"
+#include "dependencies/plan.hpp"
 #include "wrenrill/policy.hpp"
 
 namespace marblewharf {
@@ -40,6 +41,7 @@
   var_mapping cost;                  // in milliseconds on one core
   std::vector<double> default_cost;  // by class, where the var is absent; 0 = not stated
   double held_kb = 0;                // booked for each request while it is held
+  bool hash_content = false;         // of each request: somebody wants to know what it is about
 };
 
 // Results of keyed requests kept across restarts, from the operator's file.
@@ -59,6 +61,20 @@
   std::chrono::nanoseconds inquiry_pause = std::chrono::milliseconds(200);  // before the second; then doubled
 };
 
+// Sources that answers of planned classes are gathered from, from the operator's file.
+struct dependency_config {
+  std::string name;
+  std::vector<endpoint> at;
+  std::string path;  // PATH_INFO of its calls; empty: the request's own
+};
+struct dependencies_config {
+  std::vector<dependency_config> endpoints;                 // by dependency
+  std::vector<dependencies::dependency_rules> rules;        // the same
+  std::vector<dependencies::plan> plans;
+  std::string budget_var;                                   // tells a dependency its milliseconds; empty: nothing does
+  std::size_t cache = std::size_t{8} << 20;                 // bytes of old parts
+};
+
 struct config {
   std::string name;
   endpoint listen;
@@ -69,6 +85,7 @@
   wrenrill::settings settings;
   std::optional<uwsgi_config> uwsgi;  // none: that front is off
   std::optional<keyed_config> keyed;  // none: no request has a key
+  std::optional<dependencies_config> dependencies;  // none: no class is gathered
 };
 
 // Reads the text of a configuration file.
@@ -80,6 +97,9 @@
 // Keeps the results of keyed requests: the module is told which classes are keyed.
 void turn_on_keys(config& c, keyed_config keys);
 
+// Answers of planned classes are gathered from dependencies.
+void turn_on_dependencies(config& c, dependencies_config all);
+
 // The text of a file; `what` names it in the message of the failure.
 std::string read_file(const char* path, const char* what);
 
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -76,6 +76,15 @@
   std::uint64_t count(const char* key, std::uint64_t least, std::uint64_t most) const {
     return within(key, parse_count(text(key)), "is no whole number", least, most);
   }
+  double number(const char* key, double least, double most) const {
+    const std::string value = text(key);
+    double parsed = 0;
+    const char* end = value.data() + value.size();
+    if (std::from_chars(value.data(), end, parsed, std::chars_format::fixed).ptr != end || value.empty())
+      fail(key, "is no number", value);
+    if (!(parsed >= least && parsed <= most)) fail(key, "is out of bounds", value);
+    return parsed;
+  }
   bool flag(const char* key) const {
     const std::string value = text(key);
     if (value == "yes" || value == "on" || value == "true") return true;
@@ -132,7 +141,8 @@
                                 CFG_END()};
     static cfg_opt_t request_class[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE),
                                         CFG_STR("uwsgi_cost", nullptr, CFGF_NONE), CFG_STR("keyed", "no", CFGF_NONE),
-                                        CFG_STR("window", "24h", CFGF_NONE), CFG_END()};
+                                        CFG_STR("window", "24h", CFGF_NONE), CFG_STR("reserve", "50ms", CFGF_NONE),
+                                        CFG_STR("worth_without", "0", CFGF_NONE), CFG_END()};
     static cfg_opt_t tenant[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t keyed[] = {CFG_STR("folder", nullptr, CFGF_NONE),
                                 CFG_STR("uwsgi_var", nullptr, CFGF_NONE),
@@ -148,13 +158,36 @@
                                 CFG_STR("inquiry_tries", "3", CFGF_NONE),
                                 CFG_STR("inquiry_pause", "200ms", CFGF_NONE),
                                 CFG_END()};
+    static cfg_opt_t common[] = {CFG_STR("budget_var", nullptr, CFGF_NONE), CFG_STR("cache", "8MiB", CFGF_NONE),
+                                 CFG_END()};
+    static cfg_opt_t dependency[] = {CFG_STR_LIST("endpoints", nullptr, CFGF_NONE),
+                                     CFG_STR("path", nullptr, CFGF_NONE),
+                                     CFG_STR("budget", "1s", CFGF_NONE),
+                                     CFG_STR("tries", "2", CFGF_NONE),
+                                     CFG_STR("retry_share", "0.1", CFGF_NONE),
+                                     CFG_STR("retry_floor", "1", CFGF_NONE),
+                                     CFG_STR("hedge_quantile", "0.95", CFGF_NONE),
+                                     CFG_STR("hedge_share", "0.05", CFGF_NONE),
+                                     CFG_STR("most_in_flight", "64", CFGF_NONE),
+                                     CFG_STR("failures", "5", CFGF_NONE),
+                                     CFG_STR("out", "2s", CFGF_NONE),
+                                     CFG_STR("most_out", "0.5", CFGF_NONE),
+                                     CFG_STR("ramp", "5s", CFGF_NONE),
+                                     CFG_END()};
+    static cfg_opt_t part[] = {CFG_STR("class", nullptr, CFGF_NONE), CFG_STR("from", nullptr, CFGF_NONE),
+                               CFG_STR("required", "no", CFGF_NONE), CFG_STR_LIST("fallback", nullptr, CFGF_NONE),
+                               CFG_END()};
     static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
                               CFG_SEC("class", request_class, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
+                              CFG_SEC("dependencies", common, CFGF_NODEFAULT),
+                              CFG_SEC("dependency", dependency, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
+                              CFG_SEC("part", part, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("tenant", tenant, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES), CFG_END()};
     cfg_.reset(cfg_init(all, CFGF_NONE));
     cfg_set_error_function(cfg_.get(), note_fault);
     for (const auto& [name, options] :
-         {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant}}) {
+         {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant},
+          {"dependencies", common}, {"dependency", dependency}, {"part", part}}) {
       for (const cfg_opt_t* o = options; o->name != nullptr; ++o)
         cfg_set_validate_func(cfg_.get(), (std::string(name) + "|" + o->name).c_str(), note_line);
     }
@@ -176,6 +209,7 @@
       map_values(s, second.tenant, title);
     });
     if (cfg_size(cfg_.get(), "uwsgi") > 0) turn_on_uwsgi(c, read_uwsgi(std::move(second)));
+    if (cfg_size(cfg_.get(), "part") > 0) turn_on_dependencies(c, read_dependencies(c));
     if (cfg_size(cfg_.get(), "keyed") > 0) {
       turn_on_keys(c, read_keyed(c, std::move(keys)));
     } else if (std::any_of(keys.windows.begin(), keys.windows.end(), [](auto w) { return w.count() > 0; })) {
@@ -206,7 +240,7 @@
     }
   }
 
-  void read_classes(const wrenrill::settings& known, uwsgi_config& second, keyed_config& keys) const {
+  void read_classes(wrenrill::settings& known, uwsgi_config& second, keyed_config& keys) const {
     constexpr auto most_cost = std::chrono::seconds(1000);
     constexpr auto longest = std::chrono::hours(24 * 400);
     each("class", [&](const section& s, const std::string& title) {
@@ -215,6 +249,7 @@
       if (!s.text("uwsgi_cost").empty())
         second.default_cost[i] =
             std::chrono::duration<double, std::milli>(s.time("uwsgi_cost", {}, most_cost)).count();
+      if (const double worth = s.number("worth_without", 0, 1); worth > 0) known.classes[i].worth_without = worth;
       if (!s.flag("keyed")) return;
       // A request may be open for its whole deadline: a key that ages out before could run twice.
       keys.windows[i] = s.time("window", known.classes[i].deadline * 2, longest);
@@ -260,6 +295,101 @@
     return k;
   }
 
+  dependencies_config read_dependencies(const config& c) const {
+    using namespace std::chrono_literals;
+    dependencies_config all;
+    if (cfg_size(cfg_.get(), "dependencies") > 0) {
+      const section s = only("dependencies");
+      all.budget_var = s.text("budget_var");
+      all.cache = s.bytes("cache", 0, std::uint64_t{1} << 32);
+    }
+    each("dependency", [&](const section& s, const std::string& title) {
+      dependency_config d{title, {}, s.text("path")};
+      for (const std::string& at : s.list("endpoints")) d.at.push_back(s.address("endpoints", at));
+      if (d.at.empty()) s.fail("endpoints", "names no endpoint");
+      dependencies::dependency_rules r;
+      r.name = title;
+      r.endpoints = d.at.size();
+      r.budget = s.time("budget", 1ms, 600s);
+      r.tries = static_cast<unsigned>(s.count("tries", 1, 10));
+      r.retry_share = s.number("retry_share", 0, 1);
+      r.retry_floor = s.number("retry_floor", 0, 1000);
+      r.hedge_quantile = s.number("hedge_quantile", 0, 0.999);
+      r.hedge_share = s.number("hedge_share", 0, 1);
+      r.most_in_flight = static_cast<double>(s.count("most_in_flight", 1, 4096));
+      r.health.failures = static_cast<unsigned>(s.count("failures", 1, 1000));
+      r.health.out = s.time("out", 1ms, 600s);
+      r.health.most_out = s.number("most_out", 0, 1);
+      r.health.ramp = s.time("ramp", 1ms, 600s);
+      all.endpoints.push_back(std::move(d));
+      all.rules.push_back(std::move(r));
+    });
+    std::vector<std::vector<std::string>> titles;  // of parts, by plan
+    each("part", [&](const section& s, const std::string& title) {
+      const std::size_t request_class = [&] {
+        for (std::size_t i = 0; i < c.settings.classes.size(); ++i) {
+          if (c.settings.classes[i].name == s.needed("class")) return i;
+        }
+        s.fail("class", "names nothing in the settings", s.text("class"));
+      }();
+      const wrenrill::class_settings& k = c.settings.classes[request_class];
+      if (k.repeats != wrenrill::effect::safe) s.fail("class", "has an effect: only reads are gathered", k.name);
+      auto plan = std::find_if(all.plans.begin(), all.plans.end(),
+                               [&](const dependencies::plan& p) { return p.request_class == k.name; });
+      if (plan == all.plans.end()) {
+        all.plans.push_back({k.name, k.aim.count() > 0 ? k.aim : k.deadline, reserve_of(k.name), {}});
+        titles.emplace_back();
+        plan = std::prev(all.plans.end());
+      }
+      dependencies::part_plan p;
+      p.name = title;
+      p.from = dependency_of(s, "from", s.needed("from"), all);
+      p.required = s.flag("required");
+      for (const std::string& text : s.list("fallback")) p.stand_ins.push_back(stand_in_of(s, text, all));
+      plan->parts.push_back(std::move(p));
+      titles[static_cast<std::size_t>(plan - all.plans.begin())].push_back(title);
+    });
+    try {
+      dependencies::check_plans(all.plans, all.rules);
+    } catch (const dependencies::bad_plan& e) {
+      // The line of the part, by its title.
+      const std::string title = e.part_at < 0 ? "" : titles[e.plan][static_cast<std::size_t>(e.part_at)];
+      each("part", [&](const section& s, const std::string& name) {
+        if (name == title) s.fail("from", e.what());
+      });
+      throw;
+    }
+    return all;
+  }
+
+  std::chrono::nanoseconds reserve_of(const std::string& request_class) const {
+    using namespace std::chrono_literals;
+    std::chrono::nanoseconds reserve = 50ms;
+    each("class", [&](const section& s, const std::string& title) {
+      if (title == request_class) reserve = s.time("reserve", 0s, 60s);
+    });
+    return reserve;
+  }
+  static std::size_t dependency_of(const section& s, const char* key, const std::string& name,
+                                   const dependencies_config& all) {
+    for (std::size_t i = 0; i < all.endpoints.size(); ++i) {
+      if (all.endpoints[i].name == name) return i;
+    }
+    s.fail(key, "names no dependency", name);
+  }
+  static dependencies::stand_in stand_in_of(const section& s, const std::string& text,
+                                            const dependencies_config& all) {
+    using kind = dependencies::stand_in::kind;
+    const std::size_t space = text.find(' ');
+    const std::string what = text.substr(0, space);
+    const std::string rest = space == std::string::npos ? "" : text.substr(space + 1);
+    if (what == "dependency") return {kind::dependency, dependency_of(s, "fallback", rest, all), {}, {}};
+    if (what == "fixed") return {kind::fixed, 0, {}, rest};
+    const auto age = parse_time(rest);
+    if (what != "stale" || !age) s.fail("fallback", "is none of 'dependency NAME', 'stale AGE', 'fixed TEXT'", text);
+    return {kind::stale, 0, *age, {}};
+  }
+
   const std::string path_;
   notes notes_;
   std::unique_ptr<cfg_t, freed> cfg_;
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -62,6 +62,14 @@
   pending_.emplace_back(wrenrill::departure{fact.id});
 }
 
+void admission::report(const needs_call& fact) {
+  pending_.emplace_back(wrenrill::call_needed{fact.id});
+}
+
+void admission::report(const call_over& fact) {
+  pending_.emplace_back(wrenrill::call_ended{fact.id, wrenrill::outcome::ok, fact.elapsed});
+}
+
 void admission::report(const drain& fact) {
   pending_.emplace_back(wrenrill::notice{fact.left});
 }
@@ -80,7 +88,6 @@
   take(policy_.handle(now, events), now);
 }
 
-// The module's calls do not occur here: the runtime makes none that pass through this process.
 void admission::take(const std::vector<wrenrill::action>& actions, time_point now) {
   for (const wrenrill::action& a : actions) {
     if (const auto* s = std::get_if<wrenrill::start>(&a)) {
@@ -104,6 +111,10 @@
       decisions_.emplace_back(keep{k->id});
     } else if (const auto* o = std::get_if<wrenrill::forget_key>(&a)) {
       decisions_.emplace_back(forget{o->id});
+    } else if (const auto* pc = std::get_if<wrenrill::place_call>(&a)) {
+      decisions_.emplace_back(place{pc->id, pc->limit});
+    } else if (const auto* sc = std::get_if<wrenrill::skip_call>(&a)) {
+      decisions_.emplace_back(skip{sc->id});
     } else if (const auto* sh = std::get_if<wrenrill::share_outcome>(&a)) {
       decisions_.emplace_back(share{sh->id});
     } else if (const auto* h = std::get_if<wrenrill::set_health>(&a)) {
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -27,6 +27,13 @@
 struct gone {
   request_id id{};
 };
+struct needs_call {
+  request_id id{};
+};  // its run is stuck until it calls
+struct call_over {
+  request_id id{};
+  duration elapsed{};
+};  // it has what it called for, or goes on without
 struct drain {
   duration left{};  // until the process is stopped
 };
@@ -59,13 +66,20 @@
 struct share {
   request_id id{};
 };  // answer it with the outcome of the request that it repeats
+struct place {
+  request_id id{};
+  duration limit{};
+};  // its call may begin, and last that long
+struct skip {
+  request_id id{};
+};  // it goes on without its call
 struct health {
   bool good = true;
 };
 struct close_idle {
   duration after{};  // 0 = as long as callers like
 };
-using decision = std::variant<run, pause, resume, refuse, fail, keep, forget, share, health, close_idle>;
+using decision = std::variant<run, pause, resume, refuse, fail, keep, forget, share, place, skip, health, close_idle>;
 
 class admission {
  public:
@@ -75,6 +89,8 @@
   void report(const arrived& fact);
   void report(const ended& fact);
   void report(const gone& fact);
+  void report(const needs_call& fact);
+  void report(const call_over& fact);
   void report(const drain& fact);
 
   // Decides on all that was reported and all that has become due. Gauges are in the order of the settings;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -34,6 +34,7 @@
   ++counters_.taken_in;
   entry& e = table_[last_id_];
   e.what = std::move(what);
+  e.what.arrived = now_ - e.what.waited;
   e.from = &from;
   e.to = &to;
   if (keys_ != nullptr && !e.what.key.empty()) {
@@ -77,6 +78,16 @@
   }
 }
 
+void dispatcher::on_call_needed(request_id id) {
+  const auto at = table_.find(id);
+  if (at != table_.end() && at->second.started) admission_.report(needs_call{id});
+}
+
+void dispatcher::on_call_ended(request_id id, duration elapsed) {
+  const auto at = table_.find(id);
+  if (at != table_.end() && at->second.started) admission_.report(call_over{id, elapsed});
+}
+
 void dispatcher::on_drain(duration left) {
   draining_ = true;
   constexpr duration answer_early = std::chrono::milliseconds(700);  // as the module does
@@ -129,6 +140,16 @@
   if (at != table_.end() && at->second.started && at->second.to != nullptr) at->second.to->resume(d.id);
 }
 
+void dispatcher::apply(const place& d) {
+  const auto at = table_.find(d.id);
+  if (at != table_.end() && at->second.started && at->second.to != nullptr) at->second.to->place_call(d.id, d.limit);
+}
+
+void dispatcher::apply(const skip& d) {
+  const auto at = table_.find(d.id);
+  if (at != table_.end() && at->second.started && at->second.to != nullptr) at->second.to->skip_call(d.id);
+}
+
 void dispatcher::apply(const refuse& d) {
   const auto at = table_.find(d.id);
   if (at == table_.end()) return;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -40,6 +40,9 @@
   // Asks what became of a write whose run nobody heard the end of, once; dispatcher::on_inquired() is told. False: it
   // cannot be asked.
   virtual bool inquire(request_id, const request&) { return false; }
+  // A run that asked to call, by dispatcher::on_call_needed: it may, for so long; or it goes on without.
+  virtual void place_call(request_id, duration) {}
+  virtual void skip_call(request_id) {}
 };
 
 enum class inquiry_end { result, never_ran, unknown };
@@ -61,6 +64,9 @@
   request_id on_arrival(front& from, backend& to, request what);
   void on_gone(request_id id);  // no answer is owed any longer
   void on_end(request_id id, run_end how, std::string_view result, duration elapsed);
+  // A run cannot go on before it has called others; it has what it called for, or gave up on it.
+  void on_call_needed(request_id id);
+  void on_call_ended(request_id id, duration elapsed);
   void on_drain(duration left);
   void on_inquired(request_id id, inquiry_end how, std::string_view result);
 
@@ -106,6 +112,8 @@
   void apply(const resume& d);
   void apply(const refuse& d);
   void apply(const fail& d);
+  void apply(const place& d);
+  void apply(const skip& d);
   void apply(const keep& d);
   void apply(const forget& d);
   void apply(const share& d);
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -23,6 +23,7 @@
   double held_kb = 0;
   duration work{};    // expected; 0 = not stated
   duration waited{};  // since it reached the machine
+  time_point arrived{};  // at the machine, by the dispatcher's clock
   double rank = 0;
   std::string key;            // by which its sender knows a repeat; empty: it has none
   std::uint64_t content = 0;  // hash of what it asks for: the same in each repeat
--- /dev/null
+++ b/src/dependencies/endpoints.cpp
@@ -0,0 +1,128 @@
+#include "dependencies/endpoints.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace marblewharf::dependencies {
+namespace {
+
+constexpr double mean_memory = 8;    // calls
+constexpr double least_weight = 0.1; // share of calls right after it is back
+constexpr double unknown_s = 1e-3;   // taken for one that has not answered yet: it is tried soon
+constexpr unsigned most_doublings = 16;
+
+}  // namespace
+
+endpoints::endpoints(std::size_t count, endpoint_rules rules) : rules_(rules), all_(count) {}
+
+std::size_t endpoints::out() const {
+  return static_cast<std::size_t>(std::count_if(all_.begin(), all_.end(), [](const one& e) {
+    return e.where == endpoint_state::out || e.where == endpoint_state::probing;
+  }));
+}
+
+double endpoints::weight(const one& e, time_point now) const {
+  if (e.where != endpoint_state::ramping) return 1;
+  const double done = std::chrono::duration<double>(now - e.since) / std::chrono::duration<double>(rules_.ramp);
+  return std::clamp(done, least_weight, 1.0);
+}
+
+std::optional<std::size_t> endpoints::choose(time_point now, std::uint64_t random, bool may_probe,
+                                             std::optional<std::size_t> not_this) {
+  std::vector<std::size_t> usable;
+  for (std::size_t i = 0; i < all_.size(); ++i) {
+    one& e = all_[i];
+    if (e.where == endpoint_state::out && now >= e.until) move(i, endpoint_state::probing, "is tried again");
+    if (e.where == endpoint_state::ramping && now >= e.since + rules_.ramp) e.where = endpoint_state::in;
+    if (e.not_before > now || i == not_this) continue;
+    if (e.where == endpoint_state::probing && may_probe && !e.probe_out) return i;
+    if (e.where == endpoint_state::in || e.where == endpoint_state::ramping) usable.push_back(i);
+  }
+  if (usable.empty()) return std::nullopt;
+  const std::size_t n = usable.size();
+  const std::size_t a = usable[random % n];
+  const std::size_t b = usable[(random % n + 1 + (random >> 32) % std::max<std::size_t>(1, n - 1)) % n];
+  const auto cost = [&](std::size_t i) {
+    const one& e = all_[i];
+    return (e.in_flight + 1) * (e.mean_s > 0 ? e.mean_s : unknown_s) / weight(e, now);
+  };
+  return cost(b) < cost(a) ? b : a;
+}
+
+void endpoints::on_start(std::size_t which) {
+  one& e = all_[which];
+  ++e.in_flight;
+  if (e.where == endpoint_state::probing) e.probe_out = true;
+}
+
+void endpoints::on_end(std::size_t which, time_point now, duration took, bool told, bool well) {
+  one& e = all_[which];
+  if (e.in_flight > 0) --e.in_flight;
+  const bool was_probe = e.where == endpoint_state::probing;
+  if (was_probe) e.probe_out = false;
+  if (!told) return;
+  const double s = std::chrono::duration<double>(took).count();
+  e.mean_s = e.mean_s <= 0 ? s : e.mean_s + (s - e.mean_s) / mean_memory;
+  if (++e.calls >= 2 * rules_.sample) {
+    e.calls /= 2;
+    e.failed /= 2;
+  }
+  if (well) {
+    e.failures = 0;
+    if (was_probe && ++e.probes_well >= rules_.probes) {
+      e.since = now;
+      e.times_out = 0;
+      e.calls = e.failed = 0;
+      move(which, endpoint_state::ramping, "is back");
+    }
+    return;
+  }
+  ++e.failures;
+  ++e.failed;
+  if (was_probe) {
+    hold_out(which, now, "failed its probe");
+  } else if (e.where != endpoint_state::out) {
+    if (e.failures >= rules_.failures)
+      hold_out(which, now, "failed several times in a row");
+    else if (e.calls >= rules_.sample && e.failed >= rules_.failing * e.calls)
+      hold_out(which, now, "fails too often");
+  }
+}
+
+void endpoints::hold_out(std::size_t which, time_point now, const char* why) {
+  one& e = all_[which];
+  const bool is_out = e.where == endpoint_state::probing;
+  // Guards against holding out all for what is wrong elsewhere: those that are left are used, failing or not.
+  if (!is_out && static_cast<double>(out() + 1) > rules_.most_out * static_cast<double>(all_.size())) return;
+  const double times = static_cast<double>(std::uint64_t{1} << std::min(e.times_out, most_doublings));
+  const auto wait = std::chrono::duration_cast<duration>(rules_.out * times);
+  e.until = now + std::min(wait, rules_.longest_out);
+  ++e.times_out;
+  e.probes_well = 0;
+  e.failures = 0;
+  e.calls = e.failed = 0;
+  move(which, endpoint_state::out, why);
+}
+
+void endpoints::move(std::size_t which, endpoint_state to, const std::string& why) {
+  all_[which].where = to;
+  changes_.emplace_back(which, why);
+}
+
+void endpoints::on_not_now(std::size_t which, time_point until) {
+  all_[which].not_before = std::max(all_[which].not_before, until);
+}
+
+std::optional<time_point> endpoints::next_use(time_point now) const {
+  std::optional<time_point> next;
+  for (const one& e : all_) {
+    if (e.where == endpoint_state::probing && e.probe_out) continue;
+    const time_point at = std::max(e.not_before, e.where == endpoint_state::out ? e.until : time_point{});
+    if (at <= now) return std::nullopt;
+    if (!next || at < *next) next = at;
+  }
+  return next;
+}
+
+}  // namespace marblewharf::dependencies
--- /dev/null
+++ b/src/dependencies/gatherer.hpp
@@ -0,0 +1,70 @@
+// Runs requests of planned classes by gathering their parts from dependencies that speak uwsgi; all others go on to the
+// backend behind it. The conductor decides, this makes the calls.
+//
+// A run's gathering is one call to the decision module: it says when it may begin and for how long, or that the answer
+// goes without it; then only what stands in without a call is used.
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/dispatcher.hpp"
+#include "dependencies/conductor.hpp"
+#include "net/reactor.hpp"
+#include "uwsgi/exchange.hpp"
+
+namespace marblewharf::dependencies {
+
+class gatherer : public backend {
+ public:
+  gatherer(net::reactor& r, const config& settings, dispatcher& d, backend& behind);
+  ~gatherer() override;
+
+  // backend
+  void run(request_id id, const request& what) override;
+  void pause(request_id id) override;
+  void resume(request_id id) override;
+  bool inquire(request_id id, const request& what) override { return behind_.inquire(id, what); }
+  void place_call(request_id id, duration limit) override;
+  void skip_call(request_id id) override;
+
+  // Lets time pass; returns when it wants to be called again.
+  time_point step(time_point now);
+
+  std::size_t running() const { return runs_.size(); }
+  const conductor& decisions() const { return conductor_; }
+  // A line of counters for each dependency.
+  void print() const;
+
+ private:
+  struct run_state {
+    request what;
+    std::size_t plan = 0;
+    time_point begun{};
+    time_point called{};
+    bool gathering = false;
+  };
+  struct outgoing;
+
+  void apply();
+  void apply(const start_call& a);
+  void apply(const cancel_call& a);
+  void apply(const finished& a);
+  void apply(const notable& a);
+  void on_exchanged(call_id id, uwsgi::exchange_end how, const uwsgi::response_head* head, std::string_view response);
+  void begin(request_id id, time_point by);
+
+  net::reactor& reactor_;
+  const config& config_;
+  dispatcher& dispatcher_;
+  backend& behind_;
+  conductor conductor_;
+  std::vector<int> plan_of_;  // by class; -1 = none
+  std::unordered_map<request_id, run_state> runs_;
+  std::unordered_map<call_id, std::shared_ptr<uwsgi::exchange>> calls_;
+  bool applying_ = false;
+};
+
+}  // namespace marblewharf::dependencies
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -10,6 +10,7 @@
 
 #include "catalog/reporter.hpp"
 #include "core/dispatcher.hpp"
+#include "dependencies/gatherer.hpp"
 #include "keyed/keeper.hpp"
 #include "net/reactor.hpp"
 #include "net/waker.hpp"
@@ -105,10 +106,13 @@
   catalog::reporter reporter(settings);
   thrift::server front(reactor, settings, desk, runtime, counters);
   std::optional<uwsgi::client> servers;
+  std::optional<dependencies::gatherer> gatherer;
   std::optional<uwsgi::server> second_front;
   if (settings.uwsgi) {
     servers.emplace(reactor, settings, desk);
-    second_front.emplace(reactor, settings, desk, *servers, counters);
+    backend* behind = &*servers;
+    if (settings.dependencies) behind = &gatherer.emplace(reactor, settings, desk, *servers);
+    second_front.emplace(reactor, settings, desk, *behind, counters);
     telemetry::log("start", "uwsgi on %s:%u", settings.uwsgi->listen.host.c_str(),
                    static_cast<unsigned>(settings.uwsgi->listen.port));
   }
@@ -126,6 +130,7 @@
     if (asked_for_counters != 0) {
       asked_for_counters = 0;
       telemetry::print(counters);
+      if (gatherer) gatherer->print();
     }
     if (asked_to_reload != 0) {
       asked_to_reload = 0;
@@ -155,7 +160,8 @@
     }
     const time_point due =
         std::min({desk.due(), runtime.step(now), reporter.step(now, desk.healthy()), front.step(now),
-                  second_front ? second_front->step(now) : time_point::max()});
+                  second_front ? second_front->step(now) : time_point::max(),
+                  gatherer ? gatherer->step(now) : time_point::max()});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/src/uwsgi/client.cpp
+++ b/src/uwsgi/client.cpp
@@ -8,59 +8,19 @@
 
 using telemetry::log;
 
-class client::attempt : public net::stream::owner {
- public:
-  attempt(client& c, request_id number, std::string bytes, bool safe, bool asks_only)
-      : client_(c), id(number), payload(std::move(bytes)), repeatable(safe), inquiry(asks_only) {}
-
-  void connect(const endpoint& to) {
-    opened = false;
-    response.clear();
-    head.reset();
-    stream = std::make_unique<net::stream>(client_.reactor_, client_.config_.bounds, *this,
-                                           Poco::Net::SocketAddress(to.host, to.port));
-  }
-  void on_open() override {
-    opened = true;
-    stream->send(payload);
-  }
-  std::size_t on_bytes(std::string_view bytes) override {
-    response += bytes;
-    try {
-      if (!head) head = read_head(response, client_.config_.bounds);
-      if (head && response.size() > head->size + client_.config_.bounds.result)
-        throw bad_response("a body of more than " + std::to_string(client_.config_.bounds.result) + " bytes");
-      if (head && head->content && response.size() >= head->size + *head->content) {
-        response.resize(head->size + *head->content);
-        client_.finish(*this, end());
-      }
-    } catch (const bad_response& e) {
-      log("bad-response", "uwsgi server: %s", e.what());
-      client_.finish(*this, run_end::lost);
-    }
-    return bytes.size();
-  }
-  void on_lost(const char*) override { client_.on_lost(*this); }
-
-  // Of a whole response: what a server says of its own failure is one.
-  run_end end() const { return head->status < 500 ? run_end::fine : run_end::fault; }
+struct client::attempt {
+  attempt(request_id number, std::string bytes, bool safe, bool asks_only)
+      : id(number), payload(std::move(bytes)), repeatable(safe), inquiry(asks_only) {}
 
- private:
-  client& client_;
-
- public:
   const request_id id;
   const std::string payload;
   const bool repeatable;
   const bool inquiry;
   const time_point begun = net::steady_now();
-  std::unique_ptr<net::stream> stream;
+  std::shared_ptr<exchange> talk;
   std::size_t server = 0;
   unsigned tries = 0;
-  bool opened = false;
   bool repeated = false;
-  std::string response;
-  std::optional<response_head> head;
 };
 
 client::client(net::reactor& r, const config& settings, dispatcher& d)
@@ -79,7 +39,7 @@
 
 void client::run(request_id id, const request& what) {
   const bool safe = config_.settings.classes[what.request_class].repeats == wrenrill::effect::safe;
-  begin(std::make_shared<attempt>(*this, id, what.payload, safe, false));
+  begin(std::make_shared<attempt>(id, what.payload, safe, false));
 }
 
 bool client::inquire(request_id id, const request& what) {
@@ -92,7 +52,7 @@
   }
   vars.emplace_back(config_.keyed->inquiry_var, config_.keyed->inquiry_value);
   vars.emplace_back("CONTENT_LENGTH", "0");
-  begin(std::make_shared<attempt>(*this, id, encode_packet(vars, {}), true, true));
+  begin(std::make_shared<attempt>(id, encode_packet(vars, {}), true, true));
   return true;
 }
 
@@ -113,58 +73,68 @@
     }
     last_ = a->server;
     try {
-      a->connect(config_.uwsgi->servers[a->server]);
+      a->talk = std::make_shared<exchange>(
+          reactor_, config_.bounds, config_.uwsgi->servers[a->server], a->payload,
+          [this, id = a->id](exchange_end how, const response_head* head, std::string_view response) {
+            on_end(attempts_.at(id), how, head, response);
+          });
       return;
     } catch (const Poco::Exception& e) {
       log("uwsgi-server", "no connection: %s", e.displayText().c_str());
     }
   }
-  finish(*a, run_end::never_started);
+  finish(*a, run_end::never_started, {}, 0);
 }
 
-void client::on_lost(attempt& a) {
-  const auto self = attempts_.at(a.id);  // keeps it alive while it is moved on
-  if (a.opened && a.head && !a.head->content) {
-    finish(a, a.end());  // its end is the end of the connection
-    return;
-  }
-  if (a.opened) {
-    log("uwsgi-server", "an attempt ended without a whole response");
-    // Guards against a second effect: a byte may have arrived, so only what is safe to repeat is.
-    if (!a.repeatable || a.repeated || a.tries >= load_.size()) {
-      finish(a, run_end::lost);
+void client::on_end(const std::shared_ptr<attempt>& of, exchange_end how, const response_head* head,
+                    std::string_view response) {
+  const auto a = of;  // keeps it alive while it is moved on
+  switch (how) {
+    case exchange_end::whole:
+      // What a server says of its own failure is one.
+      finish(*a, head->status < 500 ? run_end::fine : run_end::fault, response, head->status);
       return;
-    }
-    a.repeated = true;
+    case exchange_end::unreadable: finish(*a, run_end::lost, {}, 0); return;
+    case exchange_end::unconnected: break;
+    case exchange_end::cut_off:
+      log("uwsgi-server", "an attempt ended without a whole response");
+      // Guards against a second effect: a byte may have arrived, so only what is safe to repeat is.
+      if (!a->repeatable || a->repeated || a->tries >= load_.size()) {
+        finish(*a, run_end::lost, {}, 0);
+        return;
+      }
+      a->repeated = true;
+      break;
   }
-  reactor_.retire(std::move(a.stream));
-  try_next(self);
+  reactor_.retire(std::move(a->talk));
+  try_next(a);
 }
 
-void client::finish(attempt& a, run_end how) {
+void client::finish(attempt& a, run_end how, std::string_view response, unsigned status) {
   const auto self = attempts_.at(a.id);
-  if (a.stream) {
-    a.stream->close();
-    reactor_.retire(std::move(a.stream));
+  const duration took = net::steady_now() - a.begun;
+  if (a.talk) {
+    a.talk->close();
+    reactor_.retire(a.talk);
   }
   --load_[a.server];
   attempts_.erase(a.id);
   reactor_.retire(self);
   reactor_.wake();
-  if (a.inquiry) {
-    const unsigned status = how == run_end::fine && a.head ? a.head->status : 0;
-    const inquiry_end found = status == 404                    ? inquiry_end::never_ran
-                              : status >= 200 && status <= 299 ? inquiry_end::result
-                                                               : inquiry_end::unknown;
-    dispatcher_.on_inquired(a.id, found, a.response);
+  if (!a.inquiry) {
+    dispatcher_.on_end(a.id, how, how == run_end::fine ? response : std::string_view(), took);
     return;
   }
-  dispatcher_.on_end(a.id, how, a.response, net::steady_now() - a.begun);
+  const bool fine = how == run_end::fine;
+  const inquiry_end found = fine && status == 404                    ? inquiry_end::never_ran
+                            : fine && status >= 200 && status <= 299 ? inquiry_end::result
+                                                                     : inquiry_end::unknown;
+  dispatcher_.on_inquired(a.id, found, response);
 }
 
 void client::pause(request_id id) {
   const auto at = attempts_.find(id);
-  if (at != attempts_.end()) finish(*at->second, run_end::broken_off);
+  if (at != attempts_.end()) finish(*at->second, run_end::broken_off, {}, 0);
 }
 
 }  // namespace marblewharf::uwsgi
--- a/src/uwsgi/client.hpp
+++ b/src/uwsgi/client.hpp
@@ -8,8 +8,7 @@
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
-#include "net/stream.hpp"
-#include "uwsgi/packet.hpp"
+#include "uwsgi/exchange.hpp"
 
 namespace marblewharf::uwsgi {
 
@@ -29,12 +28,13 @@
   std::size_t running() const { return attempts_.size(); }
 
  private:
-  class attempt;
+  struct attempt;
 
   std::size_t least_loaded() const;
   void try_next(const std::shared_ptr<attempt>& a);
-  void on_lost(attempt& a);
-  void finish(attempt& a, run_end how);
+  void on_end(const std::shared_ptr<attempt>& a, exchange_end how, const response_head* head,
+              std::string_view response);
+  void finish(attempt& a, run_end how, std::string_view response, unsigned status);
   void begin(const std::shared_ptr<attempt>& a);
 
   net::reactor& reactor_;
--- a/src/uwsgi/packet.cpp
+++ b/src/uwsgi/packet.cpp
@@ -142,7 +142,12 @@
     if (lines.empty()) return head;
     const std::string_view line = lines.substr(0, lines.find("\r\n"));
     const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos || !same_name(line.substr(0, colon), "content-length")) continue;
+    if (colon == std::string_view::npos) continue;
+    if (same_name(line.substr(0, colon), "retry-after")) {
+      constexpr std::size_t longest_s = 86400;
+      if (const auto s = to_count(trimmed(line.substr(colon + 1)))) head.retry_after = std::chrono::seconds(std::min(*s, longest_s));
+    }
+    if (!same_name(line.substr(0, colon), "content-length")) continue;
     head.content = to_count(trimmed(line.substr(colon + 1)));
     if (!head.content) throw bad_response("a Content-Length that is no count");
   }
--- a/src/uwsgi/packet.hpp
+++ b/src/uwsgi/packet.hpp
@@ -2,6 +2,7 @@
 // HTTP-shaped response the other. Bytes to typed values and back; no sockets here.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <stdexcept>
@@ -45,6 +46,7 @@
   unsigned status = 0;
   std::size_t size = 0;                // of the head
   std::optional<std::size_t> content;  // length of the body; none: up to the end of the connection
+  std::optional<std::chrono::seconds> retry_after;  // where it says a number of them
 };
 
 // The head of a response; none while it is not whole. Throws bad_response.
--- a/src/uwsgi/request.cpp
+++ b/src/uwsgi/request.cpp
@@ -26,16 +26,20 @@
 }
 
 // A retry may come by another way and at another time: of the vars only these say what is asked for.
+std::uint64_t content_of(const packet& p) {
+  const auto var = [&](std::string_view name) { return p.find(name).value_or(std::string_view()); };
+  const std::array<std::string_view, 5> asked = {"uwsgi", var("REQUEST_METHOD"), var("PATH_INFO"),
+                                                 var("QUERY_STRING"), p.body};
+  return keyed::content_hash(asked);
+}
+
 void read_key(const packet& p, const keyed_config& keys, request& r) {
   if (keys.windows[r.request_class].count() == 0) return;
   const std::string_view key = p.find(keys.uwsgi_var).value_or(std::string_view());
   if (const char* fault = keyed::fault_of_key(key, keys.longest_key))
     throw bad_packet(bad_request, std::string(fault) + " in " + keys.uwsgi_var);
-  const auto var = [&](std::string_view name) { return p.find(name).value_or(std::string_view()); };
-  const std::array<std::string_view, 5> asked = {"uwsgi", var("REQUEST_METHOD"), var("PATH_INFO"),
-                                                 var("QUERY_STRING"), p.body};
   r.key = key;
-  r.content = keyed::content_hash(asked);
+  r.content = content_of(p);
 }
 
 }  // namespace
@@ -53,6 +57,7 @@
   r.work = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(cost_ms));
   r.held_kb = mapping.held_kb;
   r.payload = p.whole;
+  if (mapping.hash_content) r.content = content_of(p);
   if (keys != nullptr) read_key(p, *keys, r);
   return r;
 }
