Run writes over several participants whole or not at all, across restarts

Need: a kurs-meldung that touches several participants must never be partly applied, also where the node is killed between their steps.

Change: dependencies::writer drives the transaction's steps over uwsgi, has its marks on disk in a folder of its own before what follows them, and after a restart goes on with what is open. A key's run is one write with an id of its own; after a crash a repeat is told by its key: the result, that it never ran, or that it is under way. A keyed request given up while it runs says 'Outcome: unknown' beside its 504. Plans are checked at the start: keyed classes only, no participant twice, one without a prepare step at the most.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -66,6 +66,7 @@
   std::string name;
   std::vector<endpoint> at;
   std::string path;  // PATH_INFO of its calls; empty: the request's own
+  bool one_phase = false;  // of writes: it cannot prepare
 };
 struct dependencies_config {
   std::vector<dependency_config> endpoints;                 // by dependency
@@ -75,6 +76,23 @@
   std::size_t cache = std::size_t{8} << 20;                 // bytes of old parts
 };
 
+// Writes over several participants, from the operator's file.
+struct write_plan {
+  std::size_t request_class = 0;
+  std::vector<std::size_t> participants;  // dependencies
+  std::chrono::nanoseconds reserve{};     // of the aim: what is not decided by then is undone
+  std::chrono::nanoseconds window{};      // how long the outcome is known by its key
+};
+struct writes_config {
+  std::vector<write_plan> plans;
+  std::string folder;
+  std::uint64_t segment = std::uint64_t{8} << 20;
+  std::uint64_t space = std::uint64_t{256} << 20;
+  std::string step_var, id_var;  // tell a participant its step, and the write by its id
+  std::chrono::nanoseconds retry = std::chrono::milliseconds(200);  // of a step that nobody answered; then doubled
+  std::chrono::nanoseconds longest_retry = std::chrono::seconds(5);
+};
+
 struct config {
   std::string name;
   endpoint listen;
@@ -86,6 +104,7 @@
   std::optional<uwsgi_config> uwsgi;  // none: that front is off
   std::optional<keyed_config> keyed;  // none: no request has a key
   std::optional<dependencies_config> dependencies;  // none: no class is gathered
+  std::optional<writes_config> writes;  // none: no write has several participants
 };
 
 // Reads the text of a configuration file.
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -142,7 +142,8 @@
     static cfg_opt_t request_class[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE),
                                         CFG_STR("uwsgi_cost", nullptr, CFGF_NONE), CFG_STR("keyed", "no", CFGF_NONE),
                                         CFG_STR("window", "24h", CFGF_NONE), CFG_STR("reserve", "50ms", CFGF_NONE),
-                                        CFG_STR("worth_without", "0", CFGF_NONE), CFG_END()};
+                                        CFG_STR("worth_without", "0", CFGF_NONE),
+                                        CFG_STR_LIST("participants", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t tenant[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t keyed[] = {CFG_STR("folder", nullptr, CFGF_NONE),
                                 CFG_STR("uwsgi_var", nullptr, CFGF_NONE),
@@ -173,13 +174,19 @@
                                      CFG_STR("out", "2s", CFGF_NONE),
                                      CFG_STR("most_out", "0.5", CFGF_NONE),
                                      CFG_STR("ramp", "5s", CFGF_NONE),
+                                     CFG_STR("one_phase", "no", CFGF_NONE),
                                      CFG_END()};
+    static cfg_opt_t writes[] = {CFG_STR("folder", nullptr, CFGF_NONE),     CFG_STR("segment", "8MiB", CFGF_NONE),
+                                 CFG_STR("space", "256MiB", CFGF_NONE),     CFG_STR("step_var", nullptr, CFGF_NONE),
+                                 CFG_STR("id_var", nullptr, CFGF_NONE),     CFG_STR("retry", "200ms", CFGF_NONE),
+                                 CFG_STR("longest_retry", "5s", CFGF_NONE), CFG_END()};
     static cfg_opt_t part[] = {CFG_STR("class", nullptr, CFGF_NONE), CFG_STR("from", nullptr, CFGF_NONE),
                                CFG_STR("required", "no", CFGF_NONE), CFG_STR_LIST("fallback", nullptr, CFGF_NONE),
                                CFG_END()};
     static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
                               CFG_SEC("class", request_class, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("dependencies", common, CFGF_NODEFAULT),
+                              CFG_SEC("writes", writes, CFGF_NODEFAULT),
                               CFG_SEC("dependency", dependency, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("part", part, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("tenant", tenant, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES), CFG_END()};
@@ -187,7 +194,7 @@
     cfg_set_error_function(cfg_.get(), note_fault);
     for (const auto& [name, options] :
          {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant},
-          {"dependencies", common}, {"dependency", dependency}, {"part", part}}) {
+          {"dependencies", common}, {"writes", writes}, {"dependency", dependency}, {"part", part}}) {
       for (const cfg_opt_t* o = options; o->name != nullptr; ++o)
         cfg_set_validate_func(cfg_.get(), (std::string(name) + "|" + o->name).c_str(), note_line);
     }
@@ -209,12 +216,13 @@
       map_values(s, second.tenant, title);
     });
     if (cfg_size(cfg_.get(), "uwsgi") > 0) turn_on_uwsgi(c, read_uwsgi(std::move(second)));
-    if (cfg_size(cfg_.get(), "part") > 0) turn_on_dependencies(c, read_dependencies(c));
+    if (cfg_size(cfg_.get(), "dependency") > 0) turn_on_dependencies(c, read_dependencies(c));
     if (cfg_size(cfg_.get(), "keyed") > 0) {
       turn_on_keys(c, read_keyed(c, std::move(keys)));
     } else if (std::any_of(keys.windows.begin(), keys.windows.end(), [](auto w) { return w.count() > 0; })) {
       throw bad_config(path_ + ":0: keyed is missing, and a class has keyed = yes");
     }
+    read_writes(c);
   }
 
  private:
@@ -317,6 +325,7 @@
       r.hedge_quantile = s.number("hedge_quantile", 0, 0.999);
       r.hedge_share = s.number("hedge_share", 0, 1);
       r.most_in_flight = static_cast<double>(s.count("most_in_flight", 1, 4096));
+      d.one_phase = s.flag("one_phase");
       r.health.failures = static_cast<unsigned>(s.count("failures", 1, 1000));
       r.health.out = s.time("out", 1ms, 600s);
       r.health.most_out = s.number("most_out", 0, 1);
@@ -362,6 +371,41 @@
     return all;
   }
 
+  void read_writes(config& c) const {
+    using namespace std::chrono_literals;
+    writes_config w;
+    each("class", [&](const section& s, const std::string& title) {
+      if (!s.has("participants")) return;
+      write_plan p;
+      p.request_class = index_of(s, c.settings.classes, title);
+      if (!c.keyed || c.keyed->windows[p.request_class].count() == 0)
+        s.fail("participants", "go with keyed = yes: a write over several is known by its key");
+      if (!c.dependencies) s.fail("participants", "name no dependency");
+      unsigned one_phase = 0;
+      for (const std::string& name : s.list("participants")) {
+        p.participants.push_back(dependency_of(s, "participants", name, *c.dependencies));
+        if (std::count(p.participants.begin(), p.participants.end(), p.participants.back()) > 1)
+          s.fail("participants", "name one twice", name);
+        one_phase += c.dependencies->endpoints[p.participants.back()].one_phase;
+      }
+      if (one_phase > 1) s.fail("participants", "have more than one that cannot prepare");
+      p.reserve = s.time("reserve", 0s, 60s);
+      p.window = c.keyed->windows[p.request_class];
+      w.plans.push_back(std::move(p));
+    });
+    if (w.plans.empty()) return;
+    if (cfg_size(cfg_.get(), "writes") == 0) throw bad_config(path_ + ":0: writes is missing, and a class has participants");
+    const section s = only("writes");
+    w.folder = s.needed("folder");
+    w.step_var = s.needed("step_var");
+    w.id_var = s.needed("id_var");
+    w.segment = s.bytes("segment", 256 << 10, std::uint64_t{1} << 30);
+    w.space = s.bytes("space", 4 * w.segment, std::uint64_t{1} << 50);
+    w.retry = s.time("retry", 10ms, 60s);
+    w.longest_retry = s.time("longest_retry", w.retry, 3600s);
+    c.writes = std::move(w);
+  }
+
   std::chrono::nanoseconds reserve_of(const std::string& request_class) const {
     using namespace std::chrono_literals;
     std::chrono::nanoseconds reserve = 50ms;
--- a/src/core/dispatcher_keys.cpp
+++ b/src/core/dispatcher_keys.cpp
@@ -164,7 +164,9 @@
     tell_all(at, final, run_end::never_started);
     close_leader(at, run_end::never_started);
   } else {
-    conclude(at, final);  // it goes on for those that follow
+    answer open = final;  // it goes on for those that follow, and may yet end
+    open.in_doubt = l.where != lead::stage::intending;
+    conclude(at, open);
   }
 }
 
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -11,6 +11,7 @@
 #include "catalog/reporter.hpp"
 #include "core/dispatcher.hpp"
 #include "dependencies/gatherer.hpp"
+#include "dependencies/writer.hpp"
 #include "keyed/keeper.hpp"
 #include "net/reactor.hpp"
 #include "net/waker.hpp"
@@ -55,6 +56,11 @@
   }
 }
 
+std::uint64_t random_number() {
+  std::random_device random;
+  return std::uint64_t{random()} << 32 | random();
+}
+
 keyed::keeper_options keeper_options_of(const config& settings) {
   const keyed_config& k = *settings.keyed;
   keyed::keeper_options o;
@@ -71,10 +77,10 @@
   o.segment = k.segment;
   o.space = k.space;
   o.retry_disk = k.retry_disk;
-  o.inquiry_tries = k.inquiry_var.empty() ? 0 : k.inquiry_tries;
+  // A write over several participants is asked for in our own folder.
+  o.inquiry_tries = k.inquiry_var.empty() && !settings.writes ? 0 : k.inquiry_tries;
   o.inquiry_pause = k.inquiry_pause;
-  std::random_device random;
-  o.salt = std::uint64_t{random()} << 32 | random();
+  o.salt = random_number();
   o.unix_now = std::chrono::system_clock::now().time_since_epoch();
   o.steady_now = net::steady_now();
   return o;
@@ -107,11 +113,14 @@
   thrift::server front(reactor, settings, desk, runtime, counters);
   std::optional<uwsgi::client> servers;
   std::optional<dependencies::gatherer> gatherer;
+  std::optional<dependencies::writer> writer;
   std::optional<uwsgi::server> second_front;
   if (settings.uwsgi) {
     servers.emplace(reactor, settings, desk);
     backend* behind = &*servers;
     if (settings.dependencies) behind = &gatherer.emplace(reactor, settings, desk, *servers);
+    if (settings.writes)
+      behind = &writer.emplace(reactor, settings, desk, *behind, disk, random_number(), [&] { waker->wake(); });
     second_front.emplace(reactor, settings, desk, *behind, counters);
     telemetry::log("start", "uwsgi on %s:%u", settings.uwsgi->listen.host.c_str(),
                    static_cast<unsigned>(settings.uwsgi->listen.port));
@@ -161,7 +170,8 @@
     const time_point due =
         std::min({desk.due(), runtime.step(now), reporter.step(now, desk.healthy()), front.step(now),
                   second_front ? second_front->step(now) : time_point::max(),
-                  gatherer ? gatherer->step(now) : time_point::max()});
+                  gatherer ? gatherer->step(now) : time_point::max(),
+                  writer ? writer->step(now) : time_point::max()});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -112,8 +112,8 @@
       if (final.conflict) {
         to.finish(encode_response(422));
       } else if (final.in_doubt) {
-        // It may have run and will not run again: whoever asked has to find out by other means.
-        to.finish(encode_response(409, "Outcome: unknown\r\n"));
+        // It may have run and will not run again. Past its time it may yet end: its key tells then.
+        to.finish(encode_response(final.overdue ? 504 : 409, "Outcome: unknown\r\n"));
       } else {
         to.finish(encode_response(final.overdue ? 504 : 502));
       }
--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -93,6 +93,19 @@
   }
 }
 
+// The examples under deploy/ are files that a node starts with.
+void examples() {
+  for (const char* name : {"marblewharf.conf", "marblewharf-keyed.conf", "marblewharf-dependencies.conf"}) {
+    config c = platform();
+    for (const char* more : {"kurs-liste", "kurs-auftrag"}) {
+      c.settings.classes.push_back(c.settings.classes[0]);
+      c.settings.classes.back().name = more;
+    }
+    apply_operator_file(c, std::string(DEPLOY) + "/" + name);
+    CHECK(c.uwsgi);
+  }
+}
+
 void units() {
   CHECK(parse_time("90s") == 90s && parse_time("1.5h") == 90min && parse_time("250us") == 250us);
   for (const char* bad : {"", "s", "90", "-1s", "1e3s", "90 s", "1000000d", "inf s", "nans"}) CHECK(!parse_time(bad));
@@ -104,7 +117,7 @@
 
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {
-      {"means", means_what_it_says}, {"faults", names_file_line_and_key}, {"units", units}};
+      {"means", means_what_it_says}, {"faults", names_file_line_and_key}, {"units", units}, {"examples", examples}};
   tests.at(argv[1])();
   ::unlink((work_folder() + "/node.conf").c_str());
   ::rmdir(work_folder().c_str());
