Let the examples' test have the aims that their classes need

Cause: the test added with the writes read deploy/marblewharf-dependencies.conf with an aim of 500 ms for kurs-liste, whose budgets need 700 ms: the check of plans was right and the test was not.

Change: the classes of the examples have an aim of 2 s in the test.

--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -100,6 +100,7 @@
     for (const char* more : {"kurs-liste", "kurs-auftrag"}) {
       c.settings.classes.push_back(c.settings.classes[0]);
       c.settings.classes.back().name = more;
+      c.settings.classes.back().aim = 2s;
     }
     apply_operator_file(c, std::string(DEPLOY) + "/" + name);
     CHECK(c.uwsgi);
