Know outcomes of writes by the names of tenant and class; count ages of stale parts

Cause: the writer kept the outcome of a write under the numbers of its tenant and class. With another order of them in the settings after a restart a repeat in doubt would not have been found, would have counted as one that never ran, and could have run twice.

Change: the key of an outcome is made of names, as the keyed results' is; stale_age_ms stands in the line of each dependency.

--- a/src/dependencies/conductor.cpp
+++ b/src/dependencies/conductor.cpp
@@ -198,7 +198,10 @@
   switch (p.result.how) {
     case part_is::missing: ++counts.missing; break;
     case part_is::fresh: ++counts.fresh; break;
-    case part_is::stale: ++counts.stale; break;
+    case part_is::stale:
+      ++counts.stale;
+      counts.stale_age += p.result.age;
+      break;
     case part_is::stand_in: ++counts.stand_in; break;
   }
   --g.open;
--- a/src/dependencies/conductor.hpp
+++ b/src/dependencies/conductor.hpp
@@ -70,6 +70,7 @@
   std::uint64_t no_room = 0;    // parts that the limit let wait in vain
   std::uint64_t held_out = 0;   // times that an endpoint was
   std::uint64_t fresh = 0, stale = 0, stand_in = 0, missing = 0;  // parts
+  std::chrono::nanoseconds stale_age{};                           // of the stale parts, together
   std::chrono::nanoseconds spent{};                               // in calls
 };
 
--- a/src/dependencies/gatherer.cpp
+++ b/src/dependencies/gatherer.cpp
@@ -198,11 +198,12 @@
     const auto count = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
     log("dependencies",
         "%s calls=%llu retries=%llu hedges=%llu good=%llu failed=%llu late=%llu not_now=%llu no_room=%llu "
-        "held_out=%llu allowed=%u in_flight=%u fresh=%llu stale=%llu stand_in=%llu missing=%llu spent_ms=%llu",
+        "held_out=%llu allowed=%u in_flight=%u fresh=%llu stale=%llu stand_in=%llu missing=%llu stale_age_ms=%llu spent_ms=%llu",
         config_.dependencies->endpoints[i].name.c_str(), count(n.calls), count(n.retries), count(n.hedges),
         count(n.good), count(n.failed), count(n.late), count(n.not_now), count(n.no_room), count(n.held_out),
         conductor_.allowed(i), conductor_.in_flight(i), count(n.fresh), count(n.stale), count(n.stand_in),
-        count(n.missing), static_cast<unsigned long long>(n.spent / std::chrono::milliseconds(1)));
+        count(n.missing), count(static_cast<std::uint64_t>(n.stale_age / std::chrono::milliseconds(1))),
+        count(static_cast<std::uint64_t>(n.spent / std::chrono::milliseconds(1))));
   }
 }
 
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -137,9 +137,15 @@
   return clock_.at(net::steady_now());
 }
 
-// As the keyed results know it: by tenant, class and key.
+// As the keyed results know it: by tenant, class and key; by name, since numbers may change from one start to the next, and
+// a write that is not found counts as one that never ran.
 std::string writer::key_of(const request& what) const {
-  return std::to_string(what.tenant) + ' ' + std::to_string(what.request_class) + ' ' + what.key;
+  const auto& tenants = config_.settings.tenants;
+  std::string key = what.tenant < tenants.size() ? tenants[what.tenant].name : std::string();
+  key += '\0';
+  key += config_.settings.classes[what.request_class].name;
+  key += '\0';
+  return key += what.key;
 }
 
 std::shared_ptr<writer::write> writer::make(const write_id& id, std::size_t request_class, std::string payload,
