Give operators a console: ready, show-stat, drain and resume on a second address

Measured: ctest -L ops, 6 tests, pass (console, lines cut at every byte, 300-byte line, a line held 5 s beside five calls answered, 200 console and 100 client connections beside 20 calls).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -136,6 +136,7 @@
   c.listen = endpoint_of(all, "listen");
   c.runtime = endpoint_of(all, "runtime");
   c.directory = endpoint_of(all, "directory");
+  if (member(all, "console") != nullptr) c.console = endpoint_of(all, "console");
   c.seed = seed_of(all);
   const double stop_ms = number_of(all, "stop_ms", "stop_ms", 3200, 1, 600000);
   c.bounds.stop = std::chrono::milliseconds(std::lround(stop_ms));
@@ -190,7 +191,10 @@
 config load_config() {
   const char* path = std::getenv("PROXY_CONFIG");
   if (path == nullptr) throw bad_config("PROXY_CONFIG is not set");
-  return read_config(read_file(path, "PROXY_CONFIG"));
+  config c = read_config(read_file(path, "PROXY_CONFIG"));
+  const char* console = std::getenv("PROXY_CONSOLE");
+  if (!c.console && console != nullptr && *console != '\0') c.console = to_endpoint(console, "PROXY_CONSOLE");
+  return c;
 }
 
 }  // namespace marblewharf
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -98,6 +98,7 @@
   endpoint listen;
   endpoint runtime;
   endpoint directory;
+  std::optional<endpoint> console;  // the operators' console; none: there is none
   std::uint64_t seed = 0;
   limits bounds;
   wrenrill::settings settings;
@@ -122,7 +123,7 @@
 // The text of a file; `what` names it in the message of the failure.
 std::string read_file(const char* path, const char* what);
 
-// Reads the file that PROXY_CONFIG names.
+// Reads the file that PROXY_CONFIG names; the console is at `console` there, or else at $PROXY_CONSOLE.
 config load_config();
 
 }  // namespace marblewharf
--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -44,6 +44,10 @@
   std::size_t keyed_reads = 1024;  // repeats that wait for their result from disk
   std::size_t commit_records = 1024;                     // written by one sync of the disk
   unsigned log_lines = 5;                                // of one word in a second
+  // The operators' console: its callers are few, and some hold a connection for seconds without a whole line.
+  std::size_t console_connections = 64;
+  std::size_t console_line = 256;                                 // bytes of one call
+  duration console_wait = std::chrono::milliseconds(5000);       // for a whole line
 
   // Times.
   duration stop = std::chrono::milliseconds(3200);          // from the notice to leave to the kill
--- /dev/null
+++ b/src/console/front.cpp
@@ -0,0 +1,119 @@
+#include "console/front.hpp"
+
+#include <optional>
+#include <utility>
+
+namespace marblewharf::console {
+
+using telemetry::log;
+
+class server::connection : public net::stream::owner {
+ public:
+  connection(server& s, const Poco::Net::StreamSocket& socket)
+      : server_(s), stream_(s.reactor_, s.bounds_, *this, socket) {}
+
+  std::size_t on_bytes(std::string_view bytes) override;
+  void on_lost(const char*) override { server_.drop(*this); }
+
+  // Answers once and ends the connection; the other side sees all of the answer before the end.
+  void say(const std::string& text) {
+    if (std::exchange(answered_, true)) return;
+    answered_at_ = net::steady_now();
+    stream_.send(text);
+    stream_.finish();
+  }
+  void refuse(const char* why) {
+    ++server_.counters_.console_bad;
+    log("console", "400: %s", why);
+    say(std::string("400 ") + why + "\n");
+  }
+
+  // A connection that waits with no whole line, the longest first; none: it was answered.
+  std::optional<time_point> dispensable() const {
+    return answered_ ? std::nullopt : std::optional<time_point>(since_);
+  }
+
+  server& server_;
+  net::stream stream_;
+  time_point since_ = net::steady_now();
+  time_point answered_at_{};
+  bool answered_ = false;
+};
+
+std::size_t server::connection::on_bytes(std::string_view bytes) {
+  if (answered_) return bytes.size();
+  const std::size_t end = bytes.find('\n');
+  if (end == std::string_view::npos) {
+    // Guards against a line that never ends: what can be no call is told so at once.
+    if (bytes.size() > server_.bounds_.console_line) refuse("line too long");
+    return 0;
+  }
+  if (end > server_.bounds_.console_line) {
+    refuse("line too long");
+    return bytes.size();
+  }
+  const std::optional<ops::console_call> call = ops::parse_console_line(bytes.substr(0, end));
+  if (!call) {
+    refuse("unknown call");
+  } else {
+    say(server_.answer(*call));
+  }
+  return bytes.size();
+}
+
+server::server(net::reactor& r, const limits& bounds, const endpoint& at, desk& d, telemetry::counters& counters)
+    : reactor_(r),
+      bounds_(bounds),
+      desk_(d),
+      counters_(counters),
+      connections_(r),
+      listener_(r, bounds, at.host, at.port, [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {}
+
+server::~server() = default;
+
+void server::accept(const Poco::Net::StreamSocket& socket) {
+  if (connections_.size() >= bounds_.console_connections) {
+    // Guards the console against callers that hold connections without a whole line: the longest waiting goes.
+    connection* oldest = nullptr;
+    connections_.each([&](connection& c) {
+      if (c.dispensable() && (oldest == nullptr || *c.dispensable() < *oldest->dispensable())) oldest = &c;
+    });
+    if (oldest == nullptr) {
+      ++counters_.console_bad;
+      return;  // all were answered and are on their way out; this one is closed at once
+    }
+    oldest->refuse("no whole line in time");
+  }
+  connections_.add(std::make_shared<connection>(*this, socket));
+}
+
+void server::drop(connection& c) {
+  c.stream_.close();
+  connections_.drop(c);
+}
+
+std::string server::answer(ops::console_call call) {
+  ++counters_.console_calls;
+  switch (call) {
+    case ops::console_call::ready: return desk_.ready() ? "200 yes\n" : "200 no\n";
+    case ops::console_call::show_stat: return "200 figures follow\n" + desk_.figures() + "EOF\n";
+    case ops::console_call::drain: return "200 " + desk_.drain() + "\n";
+    case ops::console_call::resume: return "200 " + desk_.resume() + "\n";
+  }
+  return "400 unknown call\n";
+}
+
+time_point server::step(time_point now) {
+  if (now < next_sweep_) return next_sweep_;
+  next_sweep_ = now + bounds_.sweep_every;
+  connections_.each([&](connection& c) {
+    if (!c.answered_) {
+      if (now - c.since_ > bounds_.console_wait) c.refuse("no whole line in time");
+    } else if (now - c.answered_at_ > bounds_.linger || (c.stream_.flushed() && !c.stream_.is_open())) {
+      drop(c);
+    }
+  });
+  return next_sweep_;
+}
+
+}  // namespace marblewharf::console
--- /dev/null
+++ b/src/console/front.hpp
@@ -0,0 +1,56 @@
+// The operators' console: a second listening address, one line a connection, one answer, then the close.
+//
+// Runs on the reactor's thread beside the fronts, with its own listener and its own bound on connections, so that
+// callers of the console and clients never hold each other up. Owned by the node; the desk it asks outlives it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "config/config.hpp"
+#include "net/connections.hpp"
+#include "net/listener.hpp"
+#include "net/stream.hpp"
+#include "ops/console_line.hpp"
+#include "telemetry/telemetry.hpp"
+
+namespace marblewharf::console {
+
+// What the console asks of the node. Called on the reactor's thread.
+class desk {
+ public:
+  virtual ~desk() = default;
+  virtual bool ready() = 0;            // this process takes clients
+  virtual std::string figures() = 0;   // lines of `name=value`, each ending in "\n"
+  virtual std::string drain() = 0;     // the text after "200 "
+  virtual std::string resume() = 0;    // the same
+};
+
+class server {
+ public:
+  // Throws std::runtime_error naming the address that cannot be listened on.
+  server(net::reactor& r, const limits& bounds, const endpoint& at, desk& d, telemetry::counters& counters);
+  ~server();
+  server(const server&) = delete;
+  server& operator=(const server&) = delete;
+
+  // Ends connections that brought no whole line in time; returns when it wants to be called again.
+  time_point step(time_point now);
+
+ private:
+  class connection;
+  void accept(const Poco::Net::StreamSocket& socket);
+  void drop(connection& c);
+  std::string answer(ops::console_call call);
+
+  net::reactor& reactor_;
+  const limits& bounds_;
+  desk& desk_;
+  telemetry::counters& counters_;
+  net::connections<connection> connections_;
+  net::listener listener_;
+  time_point next_sweep_{};
+};
+
+}  // namespace marblewharf::console
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -19,7 +19,11 @@
       seed_(seed),
       counters_(counters),
       admission_(started_cold(settings, true), seed, now),
-      now_(now) {}
+      now_(now) {
+  counters_.served_by_class.assign(settings.classes.size(), 0);
+  counters_.refused_by_class.assign(settings.classes.size(), 0);
+  counters_.failed_by_class.assign(settings.classes.size(), 0);
+}
 
 void dispatcher::on_server_up(bool cold, time_point since) {
   if (read_any_ || draining_) return;  // the module learns the rest from runs
@@ -195,6 +199,12 @@
     case verdict::refused: ++counters_.refused; break;
     case verdict::failed: ++counters_.failed; break;
   }
+  // The operators' figures by class, counted here and nowhere else, so that each answer counts once.
+  const unsigned k = at->second.what.request_class;
+  std::vector<std::uint64_t>& by_class = final.how == verdict::served   ? counters_.served_by_class
+                                         : final.how == verdict::refused ? counters_.refused_by_class
+                                                                         : counters_.failed_by_class;
+  if (k < by_class.size()) ++by_class[k];
   at->second.from->respond(at->first, final);
 }
 
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -9,12 +9,15 @@
 #include <vector>
 
 #include "catalog/reporter.hpp"
+#include "console/front.hpp"
 #include "core/dispatcher.hpp"
 #include "dependencies/gatherer.hpp"
 #include "dependencies/writer.hpp"
 #include "keyed/keeper.hpp"
 #include "net/reactor.hpp"
 #include "net/waker.hpp"
+#include "ops/drain.hpp"
+#include "ops/figures.hpp"
 #include "runtime/link.hpp"
 #include "telemetry/telemetry.hpp"
 #include "thrift/front.hpp"
@@ -86,6 +89,35 @@
   return o;
 }
 
+// The console's calls, answered from the node's own parts.
+class operators_desk : public console::desk {
+ public:
+  operators_desk(const config& settings, const dispatcher& table, const telemetry::counters& counters,
+                 const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain)
+      : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain) {
+    for (const auto& c : settings.settings.classes) classes_.push_back(c.name);
+  }
+
+  bool ready() override { return runtime_.up() && !front_.leaving(); }
+  std::string figures() override { return ops::render_figures(counters_, classes_, desk_.open()); }
+  std::string drain() override {
+    if (drain_.drain(net::steady_now())) telemetry::log("console", "drain: health checks answer bad");
+    return "draining";
+  }
+  std::string resume() override {
+    if (drain_.resume(net::steady_now())) telemetry::log("console", "resume: health checks answer good");
+    return "serving";
+  }
+
+ private:
+  const dispatcher& desk_;
+  const telemetry::counters& counters_;
+  const runtime::link& runtime_;
+  const thrift::server& front_;
+  ops::drain_state& drain_;
+  std::vector<std::string> classes_;
+};
+
 }  // namespace
 
 void serve(const config& settings, net::tap* tap) {
@@ -111,6 +143,15 @@
   runtime::link runtime(reactor, settings, desk, counters);
   catalog::reporter reporter(settings);
   thrift::server front(reactor, settings, desk, runtime, counters);
+  ops::drain_state drained;
+  front.answer_health_by([&] { return drained.healthy(desk.healthy()); });
+  operators_desk operators(settings, desk, counters, runtime, front, drained);
+  std::optional<console::server> console;
+  if (settings.console) {
+    console.emplace(reactor, bounds, *settings.console, operators, counters);
+    telemetry::log("start", "console on %s:%u", settings.console->host.c_str(),
+                   static_cast<unsigned>(settings.console->port));
+  }
   std::optional<uwsgi::client> servers;
   std::optional<dependencies::gatherer> gatherer;
   std::optional<dependencies::writer> writer;
@@ -168,10 +209,11 @@
       if (now >= leave_at - bounds.exit_early || (leaving && empty)) reactor.stop();
     }
     const time_point due =
-        std::min({desk.due(), runtime.step(now), reporter.step(now, desk.healthy()), front.step(now),
+        std::min({desk.due(), runtime.step(now), reporter.step(now, drained.healthy(desk.healthy())), front.step(now),
                   second_front ? second_front->step(now) : time_point::max(),
                   gatherer ? gatherer->step(now) : time_point::max(),
-                  writer ? writer->step(now) : time_point::max()});
+                  writer ? writer->step(now) : time_point::max(),
+                  console ? console->step(now) : time_point::max()});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- /dev/null
+++ b/src/ops/console_line.hpp
@@ -0,0 +1,15 @@
+// What one line of the operators' console asks for. Free of I/O.
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+namespace marblewharf::ops {
+
+enum class console_call { ready, show_stat, drain, resume };
+
+// The call of a whole line, without its line end ("\n" or "\r\n"); none where it names no call. Blanks round the word
+// are allowed, nothing else.
+std::optional<console_call> parse_console_line(std::string_view line);
+
+}  // namespace marblewharf::ops
--- a/src/runtime/link.hpp
+++ b/src/runtime/link.hpp
@@ -40,6 +40,9 @@
   // Connects, asks for the gauges; returns when it wants to be called again.
   time_point step(time_point now);
 
+  // The runtime has answered and runs what it is handed.
+  bool up() const { return state_ == state::up || state_ == state::handing_over; }
+
   // The last gauges; none where they are too old to tell anything.
   std::vector<double> gauges(time_point now) const;
 
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 namespace marblewharf::telemetry {
 
@@ -34,6 +35,11 @@
   std::uint64_t key_conflicts = 0;     // same key, other content
   std::uint64_t no_room = 0;           // refused since nothing could be recorded
   std::uint64_t results_known = 0, results_in_doubt = 0, results_bytes = 0, results_commits = 0;  // as it stands
+  // By request class, as the settings list them; sized by the dispatcher.
+  std::vector<std::uint64_t> served_by_class, refused_by_class, failed_by_class;
+  // The operators' console.
+  std::uint64_t console_calls = 0;  // answered with 200
+  std::uint64_t console_bad = 0;    // answered with 400 or closed at once
 };
 
 void print(const counters& c);
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -131,7 +131,7 @@
     server_.dispatcher_.on_gone(id);
   } else if (std::holds_alternative<check>(m.content)) {
     ++server_.counters_.checks;
-    send(encode_health(m.seqid, server_.dispatcher_.healthy()));
+    send(encode_health(m.seqid, server_.healthy_ ? server_.healthy_() : server_.dispatcher_.healthy()));
   } else {
     const auto& u = std::get<undecodable>(m.content);
     if (u.answerable) {
--- a/src/thrift/front.hpp
+++ b/src/thrift/front.hpp
@@ -1,6 +1,7 @@
 // Where balancers come in: reads their requests, hands them to the dispatcher and writes its answers.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -27,6 +28,9 @@
 
   // Takes no new connection and asks callers to let go of those that stand.
   void leave();
+  bool leaving() const { return leaving_; }
+  // What health checks answer; the dispatcher's word where nobody says otherwise. Called on the reactor's thread.
+  void answer_health_by(std::function<bool()> healthy) { healthy_ = std::move(healthy); }
   bool empty() const { return connections_.empty(); }
 
  private:
@@ -50,6 +54,7 @@
   std::unordered_map<request_id, open_request> open_;
   vocabulary names_;
   net::listener listener_;
+  std::function<bool()> healthy_;
   duration idle_after_{};
   time_point next_sweep_{};
   bool leaving_ = false;
--- /dev/null
+++ b/tests/net/ops_test.cpp
@@ -0,0 +1,185 @@
+// The operators' console, figures and drain, against the real program on loopback (ctest -L ops).
+#include <map>
+#include <string>
+
+#include "harness.hpp"
+
+using namespace harness;
+
+namespace {
+
+const std::string good_health("\x02\x00\x03\x01", 4);
+const std::string bad_health("\x02\x00\x03\x00", 4);
+
+// A node whose configuration names a console on a port of its own.
+struct with_console {
+  explicit with_console(runtime& r, node_options o = {})
+      : console_port(free_port()),
+        n(r, [&] {
+          o.edit_from = "\"seed\"";
+          o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(console_port) + "\",\"seed\"";
+          return o;
+        }()) {}
+  int console_port;
+  node n;
+};
+
+// One call: the whole answer, up to the close.
+std::string call(int port, const std::string& line) {
+  connection c = connection::to(port);
+  c.send(line);
+  return c.rest();
+}
+
+std::string first_line(const std::string& answer) {
+  return answer.substr(0, answer.find('\n'));
+}
+
+// The figures as name and number.
+std::map<std::string, long> figures(int port) {
+  const std::string text = call(port, "show-stat\n");
+  CHECK(text.rfind("200", 0) == 0);
+  CHECK(text.size() >= 4 && text.substr(text.size() - 4) == "EOF\n");
+  std::map<std::string, long> out;
+  std::size_t at = text.find('\n') + 1;
+  while (at < text.size()) {
+    const std::size_t end = text.find('\n', at);
+    const std::string line = text.substr(at, end - at);
+    at = end + 1;
+    if (line == "EOF") break;
+    const std::size_t equals = line.find('=');
+    CHECK(equals != std::string::npos);
+    out[line.substr(0, equals)] = std::stol(line.substr(equals + 1));
+  }
+  return out;
+}
+
+void wait_console(int port) {
+  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (true) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in a = address_of(port);
+    const bool up = ::connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0;
+    ::close(fd);
+    if (up) return;
+    CHECK(clock::now() < until);
+    std::this_thread::sleep_for(10ms);
+  }
+}
+
+bool health(int port) {
+  connection c = connection::to(port);
+  c.send(check(1));
+  const reply r = read_reply(c);
+  CHECK(r.rest.find(good_health) != std::string::npos || r.rest.find(bad_health) != std::string::npos);
+  return r.rest.find(good_health) != std::string::npos;
+}
+
+// ready, show-stat, drain and resume, and a call that is none.
+void answers_each_call() {
+  runtime r;
+  with_console w(r);
+  wait_console(w.console_port);
+  CHECK(first_line(call(w.console_port, "ready\n")) == "200 no");  // the runtime has not answered yet
+  r.up();
+  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (first_line(call(w.console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
+
+  auto f = figures(w.console_port);
+  CHECK(f["app.completed.kurs-abfrage"] == 0 && f["app.pending"] == 0 && f["app.upstream_requests"] == 0);
+  CHECK(f.contains("app.rejected.kurs-meldung") && f.contains("app.failed.kurs-meldung"));
+
+  connection c = connection::to(w.n.port);
+  c.send(execute(1, usual(1), "a"));
+  const std::string call_id = r.expect("start");
+  f = figures(w.console_port);
+  CHECK(f["app.pending"] == 1 && f["app.upstream_requests"] == 1 && f["app.completed.kurs-abfrage"] == 0);
+  r.end(call_id, "fine", "YQ==");
+  CHECK(read_reply(c).kind == "served");
+  c.send(execute(2, usual(2, "kurs-meldung"), "b"));
+  r.end(r.expect("start"), "fault");
+  CHECK(read_reply(c).kind == "failed");
+  f = figures(w.console_port);
+  CHECK(f["app.pending"] == 0 && f["app.upstream_requests"] == 2);
+  CHECK(f["app.completed.kurs-abfrage"] == 1 && f["app.failed.kurs-meldung"] == 1 && f["app.completed.kurs-meldung"] == 0);
+
+  CHECK(first_line(call(w.console_port, "hello\n")).rfind("400", 0) == 0);
+  CHECK(first_line(call(w.console_port, "\n")).rfind("400", 0) == 0);
+
+  CHECK(health(w.n.port));
+  CHECK(first_line(call(w.console_port, "drain\n")).rfind("200", 0) == 0);
+  CHECK(first_line(call(w.console_port, "drain\r\n")).rfind("200", 0) == 0);  // twice: still draining
+  CHECK(!health(w.n.port));
+  // Whatever still arrives is answered as ever.
+  c.send(execute(3, usual(3), "c"));
+  r.end(r.expect("start"), "fine", "Yw==");
+  CHECK(read_reply(c).kind == "served");
+  CHECK(first_line(call(w.console_port, "ready\n")) == "200 yes");
+  CHECK(first_line(call(w.console_port, "resume\n")).rfind("200", 0) == 0);
+  CHECK(health(w.n.port));
+  CHECK(first_line(call(w.console_port, "resume\n")).rfind("200", 0) == 0);  // without a drain: no change
+  CHECK(health(w.n.port));
+}
+
+// A line cut at every byte is one call; one too long, or none in time, gets 400 and the close.
+void takes_lines_in_pieces() {
+  runtime r;
+  with_console w(r);
+  r.up();
+  wait_console(w.console_port);
+  const std::string line = "show-stat\n";
+  for (std::size_t cut = 1; cut < line.size(); ++cut) {
+    connection c = connection::to(w.console_port);
+    c.send(line.substr(0, cut));
+    std::this_thread::sleep_for(20ms);
+    c.send(line.substr(cut));
+    const std::string answer = c.rest();
+    CHECK(answer.rfind("200", 0) == 0 && answer.find("app.pending=") != std::string::npos);
+  }
+  {
+    connection c = connection::to(w.console_port);
+    c.send(std::string(300, 'x'));
+    CHECK(first_line(c.rest()).rfind("400", 0) == 0);
+  }
+  connection held = connection::to(w.console_port);
+  held.send("rea");  // and no more
+  const auto since = clock::now();
+  // Meanwhile others are answered at once.
+  for (int i = 0; i < 5; ++i) CHECK(first_line(call(w.console_port, "ready\n")) == "200 yes");
+  CHECK(first_line(held.rest()).rfind("400", 0) == 0);
+  CHECK(clock::now() - since >= 4s);  // held for the whole wait, then closed
+}
+
+// Callers that hold more connections than the console keeps shut nobody out; neither do clients.
+void a_crowd_shuts_nobody_out() {
+  runtime r;
+  with_console w(r);
+  r.up();
+  wait_console(w.console_port);
+  std::vector<connection> crowd;
+  for (int i = 0; i < 200; ++i) {
+    crowd.push_back(connection::to(w.console_port));
+    if (i % 2 == 0) crowd.back().send("dra");
+  }
+  std::vector<connection> clients;
+  for (int i = 0; i < 100; ++i) clients.push_back(connection::to(w.n.port));
+  for (int i = 0; i < 20; ++i) CHECK(first_line(call(w.console_port, "ready\n")) == "200 yes");
+  CHECK(health(w.n.port));  // no half call of the crowd was taken for a drain
+  const auto f = figures(w.console_port);
+  CHECK(f.contains("app.pending"));
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {
+      {"console", answers_each_call},
+      {"pieces", takes_lines_in_pieces},
+      {"crowd", a_crowd_shuts_nobody_out},
+  };
+  const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
+  CHECK(found != tests.end());
+  found->second();
+  std::printf("%s passed\n", found->first.c_str());
+  return 0;
+}
--- /dev/null
+++ b/tests/ops/units_test.cpp
@@ -0,0 +1,61 @@
+// The pure parts of daily operation: the drain state, the console's lines, the figures (ctest -L ops).
+#include <map>
+#include <string>
+
+#include "../check.hpp"
+#include "ops/console_line.hpp"
+#include "ops/drain.hpp"
+#include "ops/figures.hpp"
+
+using namespace marblewharf;
+using namespace std::chrono_literals;
+
+namespace {
+
+void drain_state() {
+  ops::drain_state d;
+  CHECK(d.healthy(true) && !d.healthy(false));
+  CHECK(!d.resume(1s));  // resume without a drain changes nothing
+  CHECK(d.where() == ops::drain_state::stage::serving && d.since() == 0s);
+  CHECK(d.drain(2s) && !d.healthy(true));
+  CHECK(!d.drain(3s) && d.since() == 2s);  // twice: the first time stays
+  CHECK(d.resume(4s) && d.healthy(true) && d.since() == 4s);
+  CHECK(!d.healthy(false));  // the module's own word still counts
+}
+
+void console_lines() {
+  using ops::console_call;
+  CHECK(ops::parse_console_line("ready") == console_call::ready);
+  CHECK(ops::parse_console_line(" show-stat\r") == console_call::show_stat);
+  CHECK(ops::parse_console_line("drain\t") == console_call::drain);
+  CHECK(ops::parse_console_line("resume") == console_call::resume);
+  for (const char* none : {"", "\r", "  ", "READY", "ready now", "rea", "show stat", "drain\r\r"})
+    CHECK(!ops::parse_console_line(none));
+  CHECK(!ops::parse_console_line(std::string_view("ready\0", 6)));
+}
+
+void figures() {
+  telemetry::counters c;
+  c.served_by_class = {3, 0};
+  c.refused_by_class = {1, 2};
+  c.failed_by_class = {0, 5};
+  c.sent = 9;
+  const std::string text = ops::render_figures(c, {"a", "b"}, 4);
+  CHECK(text ==
+        "app.completed.a=3\napp.rejected.a=1\napp.failed.a=0\napp.completed.b=0\napp.rejected.b=2\n"
+        "app.failed.b=5\napp.upstream_requests=9\napp.pending=4\n");
+  telemetry::counters empty;  // vectors not sized: zeros, no fault
+  CHECK(ops::render_figures(empty, {"a"}, 0).find("app.completed.a=0\n") == 0);
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {
+      {"drain_state", drain_state}, {"console_lines", console_lines}, {"figures", figures}};
+  const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
+  CHECK(found != tests.end());
+  found->second();
+  std::printf("%s passed\n", found->first.c_str());
+  return 0;
+}
