--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -1,7 +1,13 @@
 #include "node/serve.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <exception>
 #include <memory>
 #include <optional>
@@ -18,6 +24,7 @@
 #include "net/waker.hpp"
 #include "ops/drain.hpp"
 #include "ops/figures.hpp"
+#include "ops/handover.hpp"
 #include "runtime/link.hpp"
 #include "telemetry/telemetry.hpp"
 #include "thrift/front.hpp"
@@ -89,6 +96,51 @@
   return o;
 }
 
+// The mark of replacement in $TMPDIR, which a second process beside this one shares. The folder is memory on the
+// platform, and there are two small files a run: the reactor's thread writes and reads them itself.
+class handover_file {
+ public:
+  explicit handover_file(const config& settings)
+      : path_(ops::mark_path(folder(), settings.name)),
+        self_{static_cast<std::uint64_t>(::getpid()), net::unix_ms()} {}
+
+  // Once: this process takes clients. A rename, so that a reader never sees half a mark.
+  void mark_ready() {
+    if (std::exchange(marked_, true)) return;
+    const std::string fresh = path_ + "." + std::to_string(self_.process);
+    {
+      std::ofstream out(fresh, std::ios::trunc);
+      out << ops::write_mark(self_);
+      if (!out.flush()) {
+        telemetry::log("handover", "no mark written to %s", fresh.c_str());
+        return;
+      }
+    }
+    if (std::rename(fresh.c_str(), path_.c_str()) != 0) {
+      telemetry::log("handover", "no mark at %s", path_.c_str());
+      std::remove(fresh.c_str());
+    }
+  }
+
+  // At the notice to leave: has a process started after this one taken over the clients' address?
+  bool taken_over() const {
+    std::ifstream in(path_);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return ops::successor_took_over(self_, ops::read_mark(text.str()));
+  }
+
+ private:
+  static std::string folder() {
+    const char* tmp = std::getenv("TMPDIR");
+    return tmp != nullptr && *tmp != '\0' ? tmp : "/tmp";
+  }
+
+  std::string path_;
+  ops::handover_mark self_;
+  bool marked_ = false;
+};
+
 // The console's calls, answered from the node's own parts.
 class operators_desk : public console::desk {
  public:
@@ -167,6 +219,8 @@
                    static_cast<unsigned>(settings.uwsgi->listen.port));
   }
   time_point leave_at = time_point::max();
+  handover_file handover(settings);
+  bool handed_over = false;  // a successor takes the clients: leave at once
   telemetry::log("start", "%s listens on %s:%u", settings.name.c_str(), settings.listen.host.c_str(),
                  static_cast<unsigned>(settings.listen.port));
 
@@ -186,8 +240,11 @@
       asked_to_reload = 0;
       reload(settings, runtime, reporter);
     }
+    if (operators.ready()) handover.mark_ready();
     if (asked_to_leave != 0 && !desk.draining()) {
-      telemetry::log("drain", "notice to leave, %zu requests open", desk.open());
+      handed_over = handover.taken_over();
+      telemetry::log("drain", "notice to leave, %zu requests open%s", desk.open(),
+                     handed_over ? "; a successor takes the clients" : "");
       leave_at = now + bounds.stop;
       desk.on_drain(bounds.stop);
     }
@@ -200,7 +257,8 @@
     if (keeper) keeper->step(now);
     desk.step(now, gauges);
     if (desk.draining()) {
-      const bool leaving = now >= leave_at - bounds.leave_early;
+      // With a successor beside it, every connection this one keeps or takes is one the successor does not.
+      const bool leaving = handed_over || now >= leave_at - bounds.leave_early;
       if (leaving) front.leave();
       if (leaving && second_front) second_front->leave();
       // A keyed run may end yet though its caller has left, and would be in doubt for nothing.
--- /dev/null
+++ b/src/ops/handover.cpp
@@ -0,0 +1,41 @@
+#include "ops/handover.hpp"
+
+#include <charconv>
+
+namespace marblewharf::ops {
+
+namespace {
+constexpr std::string_view head = "marblewharf ready ";
+}
+
+std::string write_mark(const handover_mark& m) {
+  return std::string(head) + std::to_string(m.process) + " " + std::to_string(m.started_ms) + "\n";
+}
+
+std::optional<handover_mark> read_mark(std::string_view text) {
+  if (!text.starts_with(head) || !text.ends_with('\n')) return std::nullopt;
+  text.remove_prefix(head.size());
+  text.remove_suffix(1);
+  const std::size_t space = text.find(' ');
+  if (space == std::string_view::npos) return std::nullopt;
+  handover_mark m;
+  const char* end = text.data() + space;
+  const auto first = std::from_chars(text.data(), end, m.process);
+  if (first.ec != std::errc{} || first.ptr != end || space == 0) return std::nullopt;
+  const char* last_end = text.data() + text.size();
+  const auto second = std::from_chars(end + 1, last_end, m.started_ms);
+  if (second.ec != std::errc{} || second.ptr != last_end || end + 1 == last_end) return std::nullopt;
+  return m;
+}
+
+bool successor_took_over(const handover_mark& self, const std::optional<handover_mark>& seen) {
+  if (!seen || seen->process == self.process) return false;
+  // A process started in the same millisecond, or before: a mark from earlier, not a successor.
+  return seen->started_ms > self.started_ms;
+}
+
+std::string mark_path(const std::string& folder, const std::string& node_name) {
+  return (folder.empty() ? std::string(".") : folder) + "/marblewharf-" + node_name + ".ready";
+}
+
+}  // namespace marblewharf::ops
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -219,11 +219,13 @@
   std::string record{};                // a capture file to write
   std::string edit_from{}, edit_to{};  // in the text of the configuration
   int directory_port = 0;              // 0: as the node's own
+  int listen_port = 0;                 // 0: one of its own; else beside a node that listens there
+  std::string tmpdir{};                // $TMPDIR of the process; empty: as the test's
 };
 
 class node {
  public:
-  node(const runtime& r, const node_options& o = {}) : port(free_port()) {
+  node(const runtime& r, const node_options& o = {}) : port(o.listen_port != 0 ? o.listen_port : free_port()) {
     char dir[] = "/tmp/marblewharf-test-XXXXXX";
     CHECK(::mkdtemp(dir) != nullptr);
     dir_ = dir;
@@ -238,7 +240,9 @@
     for (std::string& w : words) arguments.push_back(w.data());
     arguments.push_back(nullptr);
     std::string named = "PROXY_CONFIG=" + dir_ + "/config.json";
+    std::string tmpdir = "TMPDIR=" + o.tmpdir;
     std::vector<char*> environment = {named.data()};
+    if (!o.tmpdir.empty()) environment.push_back(tmpdir.data());  // the first of a name is the one that counts
     for (char** e = environ; *e != nullptr; ++e) environment.push_back(*e);
     environment.push_back(nullptr);
     pid_ = ::fork();
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -169,6 +169,72 @@
   CHECK(f.contains("app.pending"));
 }
 
+// A second process beside the first: the first leaves at once, answers what it read, and loses nothing.
+void a_successor_takes_over() {
+  char folder[] = "/tmp/marblewharf-handover-XXXXXX";
+  CHECK(::mkdtemp(folder) != nullptr);
+  runtime first_runtime, second_runtime;
+  with_console first(first_runtime, {.tmpdir = folder});
+  first_runtime.up();
+  wait_console(first.console_port);
+  auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (first_line(call(first.console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
+  connection kept = connection::to(first.n.port);
+  kept.send(execute(1, usual(1), "a"));
+  const std::string running = first_runtime.expect("start");
+
+  with_console second(second_runtime, {.listen_port = first.n.port, .tmpdir = folder});
+  second_runtime.up();
+  wait_console(second.console_port);
+  until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (first_line(call(second.console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
+
+  first.n.signal(SIGTERM);
+  first.n.logged("a successor takes the clients");
+  CHECK(read_reply(kept).kind == "closing");
+  // From now on new connections reach the successor alone.
+  for (int i = 0; i < 20; ++i) {
+    connection fresh = connection::to(first.n.port);
+    fresh.send(execute(1, usual(100 + i), "b"));
+    second_runtime.end(second_runtime.expect("start"), "fine", "Yg==");
+    CHECK(read_reply(fresh).kind == "served");
+  }
+  first_runtime.end(running, "fine", "YQ==");
+  const reply answered = read_reply(kept);
+  CHECK(answered.kind == "served" && answered.seqid == 1 && result(answered) == "a");
+  kept.close();  // as a balancer does once all on a closing connection is answered
+  const auto asked = clock::now();
+  CHECK(first.n.wait() == 0);
+  CHECK(clock::now() - asked < 2500ms);  // ended once nothing was open, not at stop_ms
+  CHECK(first_line(call(second.console_port, "ready\n")) == "200 yes");
+  ::unlink((std::string(folder) + "/marblewharf-n0.ready").c_str());
+  ::rmdir(folder);
+}
+
+// A mark left from an earlier process is no successor: SIGTERM keeps its old meaning.
+void an_old_mark_is_no_successor() {
+  char folder[] = "/tmp/marblewharf-handover-XXXXXX";
+  CHECK(::mkdtemp(folder) != nullptr);
+  const std::string mark = std::string(folder) + "/marblewharf-n0.ready";
+  std::ofstream(mark) << "marblewharf ready 1 1000\n";
+  runtime r;
+  with_console w(r, {.tmpdir = folder});
+  r.up();
+  wait_console(w.console_port);
+  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (first_line(call(w.console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
+  w.n.signal(SIGTERM);
+  w.n.logged("notice to leave");
+  CHECK(w.n.log().find("a successor") == std::string::npos);
+  connection c = connection::to(w.n.port);  // still listening
+  c.send(execute(1, usual(1), "a"));
+  r.end(r.expect("start"), "fine", "YQ==");
+  CHECK(read_reply(c).kind == "served");
+  CHECK(w.n.wait() == 0);
+  ::unlink(mark.c_str());
+  ::rmdir(folder);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -176,6 +242,8 @@
       {"console", answers_each_call},
       {"pieces", takes_lines_in_pieces},
       {"crowd", a_crowd_shuts_nobody_out},
+      {"successor", a_successor_takes_over},
+      {"old_mark", an_old_mark_is_no_successor},
   };
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
   CHECK(found != tests.end());
--- a/tests/ops/units_test.cpp
+++ b/tests/ops/units_test.cpp
@@ -6,6 +6,7 @@
 #include "ops/console_line.hpp"
 #include "ops/drain.hpp"
 #include "ops/figures.hpp"
+#include "ops/handover.hpp"
 
 using namespace marblewharf;
 using namespace std::chrono_literals;
@@ -48,11 +49,29 @@
   CHECK(ops::render_figures(empty, {"a"}, 0).find("app.completed.a=0\n") == 0);
 }
 
+void handover_marks() {
+  const ops::handover_mark old{100, 1'000'000}, successor{200, 1'003'500};
+  CHECK(ops::read_mark(ops::write_mark(successor)) == successor);
+  const std::string whole = ops::write_mark(successor);
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) CHECK(!ops::read_mark(whole.substr(0, cut)));
+  for (const char* bad : {"marblewharf ready 1 2", "marblewharf ready x 2\n", "marblewharf ready 1\n",
+                          "marblewharf ready  2\n", "marblewharf ready 1 \n", "marblewharf ready 1 2 3\n",
+                          "marblewharf ready -1 2\n", "other 1 2\n"})
+    CHECK(!ops::read_mark(bad));
+  CHECK(ops::successor_took_over(old, successor));
+  CHECK(!ops::successor_took_over(old, std::nullopt));
+  CHECK(!ops::successor_took_over(old, old));                          // its own mark
+  CHECK(!ops::successor_took_over(successor, old));                    // left from before
+  CHECK(!ops::successor_took_over(old, ops::handover_mark{300, 1'000'000}));  // same millisecond: no proof
+  CHECK(ops::mark_path("/t", "n3") == "/t/marblewharf-n3.ready");
+}
+
 }  // namespace
 
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {
-      {"drain_state", drain_state}, {"console_lines", console_lines}, {"figures", figures}};
+      {"drain_state", drain_state}, {"console_lines", console_lines}, {"figures", figures},
+      {"handover", handover_marks}};
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
   CHECK(found != tests.end());
   found->second();
