Count as pending only requests still owed an answer, not runs that end after it

The cause: show-stat took app.pending from dispatcher::open(), the size of the table; an entry stays there after its answer while its run goes on (given up, its stop sent, no end heard yet: dispatcher.cpp, apply(fail) keeps it unless 'over'), so pending counted requests whose answer was out.

The change: dispatcher::unanswered() counts the entries not answered, once a call.

Measured: ops.pending (a run given up at its deadline and still running, a caller that left) fails with open() at line 187 and passes with unanswered().

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -49,6 +49,12 @@
   return last_id_;
 }
 
+std::size_t dispatcher::unanswered() const {
+  std::size_t owed = 0;
+  for (const auto& [id, e] : table_) owed += e.answered ? 0 : 1;
+  return owed;
+}
+
 void dispatcher::on_gone(request_id id) {
   const auto at = table_.find(id);
   if (at == table_.end() || at->second.answered) return;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -82,6 +82,9 @@
   bool healthy() const { return healthy_; }
   bool draining() const { return draining_; }
   std::size_t open() const { return table_.size(); }
+  // Requests read whose caller is still owed an answer; runs that go on after their answer are not among them.
+  // Looks at each entry: for the operators' figures, not for each request.
+  std::size_t unanswered() const;
 
  private:
   // Of a request that leads for its key.
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -151,7 +151,7 @@
   }
 
   bool ready() override { return runtime_.up() && !front_.leaving(); }
-  std::string figures() override { return ops::render_figures(counters_, classes_, desk_.open()); }
+  std::string figures() override { return ops::render_figures(counters_, classes_, desk_.unanswered()); }
   std::string drain() override {
     if (drain_.drain(net::steady_now())) telemetry::log("console", "drain: health checks answer bad");
     return "draining";
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -169,6 +169,31 @@
   CHECK(f.contains("app.pending"));
 }
 
+// A run that goes on after its request was given up is no longer pending; one whose caller left is not either.
+void pending_counts_what_is_owed() {
+  runtime r;
+  with_console w(r, {.write_aim_ms = 400});
+  r.up();
+  wait_console(w.console_port);
+  connection c = connection::to(w.n.port);
+  c.send(execute(1, usual(1, "kurs-meldung"), "a"));
+  const std::string given_up = r.expect("start");
+  c.send(execute(2, usual(2), "b"));
+  const std::string other = r.expect("start");
+  CHECK(figures(w.console_port)["app.pending"] == 2);
+  CHECK(read_reply(c).kind == "failed");
+  CHECK(r.expect("stop") == given_up);  // its run is not over yet: the runtime has not said so
+  auto f = figures(w.console_port);
+  CHECK(f["app.pending"] == 1 && f["app.failed.kurs-meldung"] == 1);
+  c.send(interrupt(3, 2));  // the caller of the other leaves
+  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (figures(w.console_port)["app.pending"] != 0) CHECK(clock::now() < until);
+  r.end(given_up, "broken_off");
+  r.end(other, "fine", "Yg==");
+  f = figures(w.console_port);
+  CHECK(f["app.pending"] == 0 && f["app.upstream_requests"] == 2);
+}
+
 // A second process beside the first: the first leaves at once, answers what it read, and loses nothing.
 void a_successor_takes_over() {
   char folder[] = "/tmp/marblewharf-handover-XXXXXX";
@@ -243,6 +268,7 @@
       {"pieces", takes_lines_in_pieces},
       {"crowd", a_crowd_shuts_nobody_out},
       {"successor", a_successor_takes_over},
+      {"pending", pending_counts_what_is_owed},
       {"old_mark", an_old_mark_is_no_successor},
   };
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
