Let a successor wait for the keyed folder instead of failing to start beside its owner

The cause: a second process with the same operator's file ended at once with 'another process holds this folder' (store/file_system.cpp, lock(), taken by store::log before it reads anything; keyed.folders asserted exit 1). So no replacement could be made where results are kept.

--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cinttypes>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -19,6 +20,7 @@
 #include "core/dispatcher.hpp"
 #include "dependencies/gatherer.hpp"
 #include "dependencies/writer.hpp"
+#include "keyed/awaited.hpp"
 #include "keyed/keeper.hpp"
 #include "net/reactor.hpp"
 #include "net/waker.hpp"
@@ -186,11 +188,24 @@
   std::optional<net::waker> waker;
   store::posix_file_system disk;
   std::unique_ptr<keyed::keeper> keeper;
-  if (settings.keyed) {
-    waker.emplace(reactor);
+  std::optional<keyed::awaited_book> keys;
+  time_point next_lock_try = time_point::max();
+  // Reads the folder as after a restart: what the process before kept is known from now on.
+  const auto open_keeper = [&] {
     keeper = std::make_unique<keyed::keeper>(disk, keeper_options_of(settings), counters, [&] { waker->wake(); });
     keeper->report_to(desk);
-    desk.use(*keeper, settings.keyed->finish_within);
+    keys->take(*keeper);
+  };
+  if (settings.keyed) {
+    waker.emplace(reactor);
+    keys.emplace(settings.keyed->retry_disk, counters);
+    desk.use(*keys, settings.keyed->finish_within);
+    try {
+      open_keeper();
+    } catch (const store::held& e) {  // a process before this one still has it: a replacement
+      telemetry::log("handover", "%s: keyed requests are refused until it lets go", e.what());
+      next_lock_try = net::steady_now() + settings.keyed->retry_disk;
+    }
   }
   runtime::link runtime(reactor, settings, desk, counters);
   catalog::reporter reporter(settings);
@@ -254,6 +269,20 @@
       const double more = static_cast<double>(servers->running()) / settings.settings.cores;
       gauges[*busy] = std::min(1.0, gauges[*busy] + more);
     }
+    if (!keeper && now >= next_lock_try) {
+      next_lock_try = now + settings.keyed->retry_disk;
+      try {
+        open_keeper();
+        next_lock_try = time_point::max();
+        telemetry::log("handover", "%s taken over: %" PRIu64 " keys known", settings.keyed->folder.c_str(),
+                       static_cast<std::uint64_t>(keeper->known().size()));
+      } catch (const store::held&) {  // not yet
+        keeper.reset();
+      } catch (const std::exception& e) {  // the folder cannot be read: keyed requests stay refused
+        keeper.reset();
+        telemetry::log("handover", "%s cannot be taken over: %s", settings.keyed->folder.c_str(), e.what());
+      }
+    }
     if (keeper) keeper->step(now);
     desk.step(now, gauges);
     if (desk.draining()) {
@@ -271,7 +300,7 @@
                   second_front ? second_front->step(now) : time_point::max(),
                   gatherer ? gatherer->step(now) : time_point::max(),
                   writer ? writer->step(now) : time_point::max(),
-                  console ? console->step(now) : time_point::max()});
+                  console ? console->step(now) : time_point::max(), next_lock_try});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/src/store/file_system.hpp
+++ b/src/store/file_system.hpp
@@ -14,6 +14,10 @@
 struct io_error : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
+// Of lock(): another process holds the folder now. It may let go; nothing of the folder was read or written.
+struct held : io_error {
+  using io_error::io_error;
+};
 
 // A file open for writing. Not for several threads at once.
 class file {
@@ -40,7 +44,7 @@
   virtual void truncate(const std::string& path, std::uint64_t size) = 0;
   virtual void make_folder(const std::string& path) = 0;  // fine where it stands
   virtual void sync_folder(const std::string& path) = 0;
-  // Holds the folder for this process until the handle goes; fails where another one holds it.
+  // Holds the folder for this process until the handle goes; throws `held` where another one holds it.
   virtual std::shared_ptr<void> lock(const std::string& path) = 0;
 };
 
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,4 +1,5 @@
 // The operators' console, figures and drain, against the real program on loopback (ctest -L ops).
+#include <filesystem>
 #include <map>
 #include <string>
 
@@ -236,6 +237,65 @@
   ::rmdir(folder);
 }
 
+std::string keyed_write(int seqid, int label_number, const std::string& key) {
+  fields f = usual(label_number, "kurs-meldung");
+  f.emplace_back("key", key);
+  return execute(seqid, f, "price");
+}
+
+// The keyed folder is written by one process at a time: the successor refuses keyed requests until the first has
+// ended, then answers a repeat with what the first one kept.
+void a_successor_takes_the_keyed_folder_over() {
+  char folder[] = "/tmp/marblewharf-handover-XXXXXX";
+  CHECK(::mkdtemp(folder) != nullptr);
+  const std::string operators = "class kurs-meldung {\n keyed = yes\n window = 10m\n}\nkeyed {\n folder = \"" +
+                                std::string(folder) + "/results\"\n thrift_field = key\n}\n";
+  runtime first_runtime, second_runtime;
+  with_console first(first_runtime, {.operators = operators, .tmpdir = folder});
+  first_runtime.up();
+  wait_console(first.console_port);
+  connection c = connection::to(first.n.port);
+  c.send(keyed_write(1, 1, "k1"));
+  first_runtime.end(first_runtime.expect("start"), "fine", "AP8B");  // 00 ff 01
+  const std::string kept = result(read_reply(c));
+  CHECK(kept == std::string("\x00\xff\x01", 3));
+
+  with_console second(second_runtime, {.operators = operators, .listen_port = first.n.port, .tmpdir = folder});
+  second_runtime.up();
+  second.n.logged("another process holds this folder: keyed requests are refused");
+  auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (first_line(call(second.console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
+  first.n.signal(SIGTERM);
+  CHECK(read_reply(c).kind == "closing");
+  c.close();
+  CHECK(first.n.wait() == 0);
+  // Until the successor holds the folder a keyed request is refused, never run; then the repeat gets the kept result.
+  until = clock::now() + std::chrono::milliseconds(patience_ms);
+  int seqid = 1;
+  for (bool answered = false; !answered;) {
+    connection d = connection::to(first.n.port);
+    d.send(keyed_write(++seqid, 2, "k1"));
+    const reply r = read_reply(d);
+    if (r.kind == "refused") {
+      CHECK(r.rest.find("later") != std::string::npos);
+      CHECK(clock::now() < until);
+      std::this_thread::sleep_for(50ms);
+      continue;
+    }
+    CHECK(r.kind == "served" && result(r) == kept);
+    answered = true;
+  }
+  second.n.logged("taken over: 1 keys known");
+  // The repeat never ran: the successor's runtime hears nothing but questions for gauges.
+  const auto quiet_until = clock::now() + 300ms;
+  while (clock::now() < quiet_until) {
+    if (!second_runtime.link.readable(20)) continue;
+    const std::string line = second_runtime.link.line();
+    CHECK(second_runtime.answer_gauges(line));
+  }
+  std::filesystem::remove_all(folder);
+}
+
 // A mark left from an earlier process is no successor: SIGTERM keeps its old meaning.
 void an_old_mark_is_no_successor() {
   char folder[] = "/tmp/marblewharf-handover-XXXXXX";
@@ -270,6 +330,7 @@
       {"successor", a_successor_takes_over},
       {"pending", pending_counts_what_is_owed},
       {"old_mark", an_old_mark_is_no_successor},
+      {"keyed_folder", a_successor_takes_the_keyed_folder_over},
   };
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
   CHECK(found != tests.end());
