Wake the reactor through a UDP socket connected to itself, not a Unix socket pair

Ruled out: anything else of the node needing one (no other socketpair, AF_UNIX, fork, exec, sendfile or splice in src/).

One descriptor, not two.

--- a/src/net/waker.cpp
+++ b/src/net/waker.cpp
@@ -2,44 +2,43 @@
 
 #include <Poco/Exception.h>
 #include <Poco/NObserver.h>
-#include <Poco/Net/StreamSocketImpl.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <cerrno>
-#include <cstring>
 #include <stdexcept>
 #include <string>
 
 namespace marblewharf::net {
 
+// One UDP socket on the loopback address, connected to itself: no Unix socket, which some platforms refuse.
 waker::waker(reactor& r) : reactor_(r) {
-  int ends[2];
-  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
-    throw std::runtime_error(std::string("no socket pair: ") + std::strerror(errno));
-  from_ = ends[0];
-  to_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[1]));
-  to_.setBlocking(false);
-  reactor_.addEventHandler(to_,
+  try {
+    socket_.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+    socket_.connect(socket_.address());
+    socket_.setBlocking(false);
+  } catch (const Poco::Exception& e) {
+    throw std::runtime_error("no socket to wake the reactor with: " + e.displayText());
+  }
+  reactor_.addEventHandler(socket_,
                            Poco::NObserver<waker, Poco::Net::ReadableNotification>(*this, &waker::on_readable));
 }
 
 waker::~waker() {
   reactor_.removeEventHandler(
-      to_, Poco::NObserver<waker, Poco::Net::ReadableNotification>(*this, &waker::on_readable));
-  ::close(from_);
+      socket_, Poco::NObserver<waker, Poco::Net::ReadableNotification>(*this, &waker::on_readable));
 }
 
 void waker::wake() noexcept {
   const char one = 1;
-  // Where the pair is full the reactor has plenty to wake from.
-  [[maybe_unused]] const ssize_t n = ::send(from_, &one, 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+  try {
+    socket_.sendBytes(&one, 1);
+  } catch (...) {  // where its buffer is full the reactor has plenty to wake from
+  }
 }
 
 void waker::on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
-  char some[256];
+  char some[64];
   try {
-    to_.receiveBytes(some, sizeof some);
+    // Datagrams of one byte each: take all that came, so that the reactor is not woken by them again.
+    for (int i = 0; i < 256 && socket_.available() > 0; ++i) socket_.receiveBytes(some, sizeof some);
   } catch (const Poco::Exception&) {  // nothing there after all
   }
   reactor_.wake();
--- a/src/net/waker.hpp
+++ b/src/net/waker.hpp
@@ -1,9 +1,10 @@
-// Lets another thread have the reactor take its step now and not when its poll runs out.
+// Lets another thread have the reactor take its step now and not when its poll runs out. Holds one UDP socket on
+// 127.0.0.1, connected to itself; no Unix socket.
 #pragma once
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Net/SocketNotification.h>
-#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/DatagramSocket.h>
 
 #include "net/reactor.hpp"
 
@@ -11,7 +12,7 @@
 
 class waker {
  public:
-  // Throws std::runtime_error where the system has no descriptors left.
+  // Throws std::runtime_error where no socket can be had (no descriptors left, no loopback address).
   explicit waker(reactor& r);
   ~waker();
   waker(const waker&) = delete;
@@ -24,8 +25,7 @@
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
 
   reactor& reactor_;
-  int from_ = -1;
-  Poco::Net::StreamSocket to_;
+  Poco::Net::DatagramSocket socket_;
 };
 
 }  // namespace marblewharf::net
