--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -296,6 +296,28 @@
   std::filesystem::remove_all(folder);
 }
 
+// `drain` during SIGTERM is answered and changes nothing of the leaving: what was read is answered, the process ends.
+void drains_while_it_leaves() {
+  runtime r;
+  with_console w(r, {.stop_ms = 2000});
+  r.up();
+  wait_console(w.console_port);
+  connection c = connection::to(w.n.port);
+  c.send(execute(1, usual(1), "a"));
+  const std::string running = r.expect("start");
+  w.n.signal(SIGTERM);
+  w.n.logged("notice to leave");
+  CHECK(first_line(call(w.console_port, "drain\n")) == "200 draining");
+  CHECK(!health(w.n.port));
+  CHECK(first_line(call(w.console_port, "resume\n")) == "200 serving");
+  r.end(running, "fine", "YQ==");
+  CHECK(read_reply(c).kind == "served");
+  const auto asked = clock::now();
+  c.close();
+  CHECK(w.n.wait() == 0);
+  CHECK(clock::now() - asked < 10s);  // within its stop, not held up by the console
+}
+
 // A mark left from an earlier process is no successor: SIGTERM keeps its old meaning.
 void an_old_mark_is_no_successor() {
   char folder[] = "/tmp/marblewharf-handover-XXXXXX";
@@ -331,6 +353,7 @@
       {"pending", pending_counts_what_is_owed},
       {"old_mark", an_old_mark_is_no_successor},
       {"keyed_folder", a_successor_takes_the_keyed_folder_over},
+      {"drain_leaving", drains_while_it_leaves},
   };
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
   CHECK(found != tests.end());
