--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -296,6 +296,38 @@
   std::filesystem::remove_all(folder);
 }
 
+// The first process killed outright in the middle of a keyed run: the successor takes the folder over and never runs
+// that write a second time; a repeat hears that its outcome is unknown.
+void a_killed_first_process_runs_nothing_twice() {
+  char folder[] = "/tmp/marblewharf-handover-XXXXXX";
+  CHECK(::mkdtemp(folder) != nullptr);
+  const std::string operators = "class kurs-meldung {\n keyed = yes\n window = 10m\n}\nkeyed {\n folder = \"" +
+                                std::string(folder) + "/results\"\n thrift_field = key\n}\n";
+  runtime first_runtime, second_runtime;
+  with_console first(first_runtime, {.operators = operators, .tmpdir = folder});
+  first_runtime.up();
+  wait_console(first.console_port);
+  connection c = connection::to(first.n.port);
+  c.send(keyed_write(1, 1, "k9"));
+  first_runtime.expect("start");  // its intent is on disk before this
+  with_console second(second_runtime, {.operators = operators, .listen_port = first.n.port, .tmpdir = folder});
+  second_runtime.up();
+  second.n.logged("another process holds this folder");
+  first.n.signal(SIGKILL);
+  first.n.wait();
+  second.n.logged("taken over: 1 keys known");
+  connection d = connection::to(first.n.port);
+  d.send(keyed_write(1, 2, "k9"));
+  const reply repeat = read_reply(d);
+  CHECK(repeat.kind == "failed" && repeat.rest.find("unknown") != std::string::npos);
+  const auto quiet_until = clock::now() + 300ms;  // and nothing started it again
+  while (clock::now() < quiet_until) {
+    if (!second_runtime.link.readable(20)) continue;
+    CHECK(second_runtime.answer_gauges(second_runtime.link.line()));
+  }
+  std::filesystem::remove_all(folder);
+}
+
 // `drain` during SIGTERM is answered and changes nothing of the leaving: what was read is answered, the process ends.
 void drains_while_it_leaves() {
   runtime r;
@@ -354,6 +386,7 @@
       {"old_mark", an_old_mark_is_no_successor},
       {"keyed_folder", a_successor_takes_the_keyed_folder_over},
       {"drain_leaving", drains_while_it_leaves},
+      {"killed_first", a_killed_first_process_runs_nothing_twice},
   };
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
   CHECK(found != tests.end());
