Name the successor's mark by the clients' address; let the console bind alone

Cause: ops.drain_leaving failed 32 of 40 runs started side by side (0 of many serially). strace of a failing run showed the health check after SIGTERM refused (ECONNREFUSED on the clients' port), not the first connect: the node had closed its listener, as it does when a successor takes over.

Change: the mark is marblewharf-NAME-HOST-PORT.ready, by the clients' address that a successor shares. The console binds alone (net::port_sharing::alone, no SO_REUSEPORT); where a process before it holds the address, it logs so and binds again every console_bind_retry (200 ms) until that one lets go, so a replacement with the same console address still starts.

New tests ops.stranger and ops.console_alone each fail with their fix taken out (tried).

--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -48,6 +48,7 @@
   std::size_t console_connections = 64;
   std::size_t console_line = 256;                                 // bytes of one call
   duration console_wait = std::chrono::milliseconds(5000);       // for a whole line
+  duration console_bind_retry = std::chrono::milliseconds(200);  // while a process before this one holds it
 
   // Times.
   duration stop = std::chrono::milliseconds(3200);          // from the notice to leave to the kill
--- a/src/console/front.cpp
+++ b/src/console/front.cpp
@@ -1,5 +1,6 @@
 #include "console/front.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -67,7 +68,24 @@
       desk_(d),
       counters_(counters),
       connections_(r),
-      listener_(r, bounds, at.host, at.port, [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {}
+      at_(at) {
+  try_listen(net::steady_now());
+}
+
+void server::try_listen(time_point now) {
+  try {
+    listener_.emplace(reactor_, bounds_, at_.host, at_.port,
+                      [this](const Poco::Net::StreamSocket& socket) { accept(socket); }, net::port_sharing::alone);
+    if (next_bind_ != time_point::max()) log("console", "%s:%u let go: listening", at_.host.c_str(), unsigned{at_.port});
+    next_bind_ = time_point::max();
+  } catch (const net::address_held&) {
+    // Guards a replacement: the process before this one keeps its console until it leaves.
+    if (next_bind_ == time_point::max())
+      log("console", "%s:%u held by another process; trying again until it lets go", at_.host.c_str(),
+          unsigned{at_.port});
+    next_bind_ = now + bounds_.console_bind_retry;
+  }
+}
 
 server::~server() = default;
 
@@ -104,7 +122,8 @@
 }
 
 time_point server::step(time_point now) {
-  if (now < next_sweep_) return next_sweep_;
+  if (now >= next_bind_) try_listen(now);
+  if (now < next_sweep_) return std::min(next_sweep_, next_bind_);
   next_sweep_ = now + bounds_.sweep_every;
   connections_.each([&](connection& c) {
     if (!c.answered_) {
@@ -113,7 +132,7 @@
       drop(c);
     }
   });
-  return next_sweep_;
+  return std::min(next_sweep_, next_bind_);
 }
 
 }  // namespace marblewharf::console
--- a/src/console/front.hpp
+++ b/src/console/front.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/config.hpp"
@@ -29,14 +30,19 @@
 
 class server {
  public:
-  // Throws std::runtime_error naming the address that cannot be listened on.
+  // Binds `at` alone (no SO_REUSEPORT): two processes never share one console, so an answer always comes from
+  // the process that was asked. Where a process before this one still holds the address (a replacement), the
+  // console opens once it lets go, tried again every `console_bind_retry` from step(). Throws std::runtime_error
+  // naming the address that cannot be listened on for any other reason.
   server(net::reactor& r, const limits& bounds, const endpoint& at, desk& d, telemetry::counters& counters);
   ~server();
   server(const server&) = delete;
   server& operator=(const server&) = delete;
 
-  // Ends connections that brought no whole line in time; returns when it wants to be called again.
+  // Ends connections that brought no whole line in time, binds where the address was held; returns when it wants
+  // to be called again.
   time_point step(time_point now);
+  bool listening() const { return listener_.has_value(); }
 
  private:
   class connection;
@@ -49,7 +55,11 @@
   desk& desk_;
   telemetry::counters& counters_;
   net::connections<connection> connections_;
-  net::listener listener_;
+  void try_listen(time_point now);
+
+  endpoint at_;
+  std::optional<net::listener> listener_;
+  time_point next_bind_ = time_point::max();
   time_point next_sweep_{};
 };
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/NObserver.h>
 
+#include <cerrno>
 #include <stdexcept>
 
 #include "telemetry/telemetry.hpp"
@@ -10,12 +11,15 @@
 namespace marblewharf::net {
 
 listener::listener(reactor& r, const limits& bounds, const std::string& host, std::uint16_t port,
-                   handler accepted)
+                   handler accepted, port_sharing sharing)
     : reactor_(r), bounds_(bounds), accepted_(std::move(accepted)) {
   try {
-    socket_.bind(Poco::Net::SocketAddress(host, port), true);
+    // SO_REUSEADDR either way: a restart must not wait for the last process's connections in TIME_WAIT.
+    socket_.bind(Poco::Net::SocketAddress(host, port), true, sharing == port_sharing::shared);
     socket_.listen(bounds.backlog);
   } catch (const Poco::Exception& e) {
+    const std::string where = host + ":" + std::to_string(port);
+    if (sharing == port_sharing::alone && e.code() == EADDRINUSE) throw address_held("listen: " + where + ": held");
     throw std::runtime_error("listen: " + host + ":" + std::to_string(port) + ": " + e.displayText());
   }
   reactor_.addEventHandler(
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -7,18 +7,30 @@
 
 #include <cstdint>
 #include <functional>
+#include <stdexcept>
 #include <string>
 
 #include "net/reactor.hpp"
 
 namespace marblewharf::net {
 
+// Whether a second process may bind the same address: the clients' address is shared with a successor
+// (SO_REUSEPORT, the kernel spreads new connections over both), a console is the process's own.
+enum class port_sharing { shared, alone };
+
+// Thrown where a listener `alone` finds its address held by another socket (EADDRINUSE).
+struct address_held : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 class listener {
  public:
   using handler = std::function<void(const Poco::Net::StreamSocket&)>;
 
-  // Throws std::runtime_error naming the address that cannot be listened on.
-  listener(reactor& r, const limits& bounds, const std::string& host, std::uint16_t port, handler accepted);
+  // Throws address_held (alone, address in use) or std::runtime_error naming the address that cannot be
+  // listened on.
+  listener(reactor& r, const limits& bounds, const std::string& host, std::uint16_t port, handler accepted,
+           port_sharing sharing = port_sharing::shared);
   ~listener();
   listener(const listener&) = delete;
   listener& operator=(const listener&) = delete;
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -103,7 +103,7 @@
 class handover_file {
  public:
   explicit handover_file(const config& settings)
-      : path_(ops::mark_path(folder(), settings.name)),
+      : path_(ops::mark_path(folder(), settings.name, settings.listen.host, settings.listen.port)),
         self_{static_cast<std::uint64_t>(::getpid()), net::unix_ms()} {}
 
   // Once: this process takes clients. A rename, so that a reader never sees half a mark.
--- a/src/ops/handover.cpp
+++ b/src/ops/handover.cpp
@@ -34,8 +34,10 @@
   return seen->started_ms > self.started_ms;
 }
 
-std::string mark_path(const std::string& folder, const std::string& node_name) {
-  return (folder.empty() ? std::string(".") : folder) + "/marblewharf-" + node_name + ".ready";
+std::string mark_path(const std::string& folder, const std::string& node_name, const std::string& listen_host,
+                      std::uint16_t listen_port) {
+  return (folder.empty() ? std::string(".") : folder) + "/marblewharf-" + node_name + "-" + listen_host + "-" +
+         std::to_string(listen_port) + ".ready";
 }
 
 }  // namespace marblewharf::ops
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -14,8 +14,8 @@
 
 // A node whose configuration names a console on a port of its own.
 struct with_console {
-  explicit with_console(runtime& r, node_options o = {})
-      : console_port(free_port()),
+  explicit with_console(runtime& r, node_options o = {}, int console_at = 0)
+      : console_port(console_at != 0 ? console_at : free_port()),
         n(r, [&] {
           o.edit_from = "\"seed\"";
           o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(console_port) + "\",\"seed\"";
@@ -381,14 +381,8 @@
   CHECK(clock::now() - asked < 10s);  // within its stop, not held up by the console
 }
 
-// A mark left from an earlier process is no successor: SIGTERM keeps its old meaning.
-void an_old_mark_is_no_successor() {
-  const shared_folder folder;
-  std::ofstream(folder.path + "/marblewharf-n0.ready") << "marblewharf ready 1 1000\n";
-  runtime r;
-  with_console w(r, {.tmpdir = folder.path});
-  r.up();
-  wait_ready(w.console_port);
+// SIGTERM with no successor: the node still listens and serves what comes until its stop.
+void serves_on_at_sigterm(with_console& w, runtime& r) {
   w.n.signal(SIGTERM);
   w.n.logged("notice to leave");
   CHECK(w.n.log().find("a successor") == std::string::npos);
@@ -396,9 +390,58 @@
   c.send(execute(1, usual(1), "a"));
   r.end(r.expect("start"), "fine", "YQ==");
   CHECK(read_reply(c).kind == "served");
+  c.close();
   CHECK(w.n.wait() == 0);
 }
 
+// A successor given the same console address does not share it: the first process answers the console until it
+// leaves, then the successor binds it. With SO_REUSEPORT on both the kernel spread the calls over the two.
+void a_console_binds_alone() {
+  const shared_folder folder;
+  runtime first_runtime, second_runtime;
+  with_console first(first_runtime, {.tmpdir = folder.path});
+  first_runtime.up();
+  wait_ready(first.console_port);
+  with_console second(second_runtime, {.listen_port = first.n.port, .tmpdir = folder.path}, first.console_port);
+  second_runtime.up();
+  second.n.logged("held by another process");
+  for (int i = 0; i < 10; ++i) CHECK(first_line(call(first.console_port, "drain\n")) == "200 draining");
+  CHECK(first.n.log().find("drain: health") != std::string::npos);
+  CHECK(second.n.log().find("drain: health") == std::string::npos);  // none reached the successor
+  first.n.signal(SIGTERM);
+  CHECK(first.n.wait() == 0);
+  second.n.logged("let go: listening");
+  CHECK(first_line(call(first.console_port, "ready\n")) == "200 yes");
+}
+
+// A node of the same name on another address, sharing $TMPDIR, is no successor: the one told to leave goes on
+// serving until its stop. Before the mark named the address, parallel tests (all named n0, all in /tmp) took each
+// other's marks and closed their listeners at SIGTERM.
+void a_stranger_is_no_successor() {
+  const shared_folder folder;
+  runtime first_runtime, other_runtime;
+  with_console first(first_runtime, {.tmpdir = folder.path});
+  first_runtime.up();
+  wait_ready(first.console_port);
+  with_console other(other_runtime, {.tmpdir = folder.path});  // same name, its own address
+  other_runtime.up();
+  wait_ready(other.console_port);
+  serves_on_at_sigterm(first, first_runtime);
+}
+
+// A mark left from an earlier process is no successor: SIGTERM keeps its old meaning.
+void an_old_mark_is_no_successor() {
+  const shared_folder folder;
+  runtime r;
+  const int port = free_port();
+  std::ofstream(folder.path + "/marblewharf-n0-" + own_host() + "-" + std::to_string(port) + ".ready")
+      << "marblewharf ready 1 1000\n";
+  with_console w(r, {.listen_port = port, .tmpdir = folder.path});
+  r.up();
+  wait_ready(w.console_port);
+  serves_on_at_sigterm(w, r);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -409,6 +452,8 @@
       {"successor", a_successor_takes_over},
       {"pending", pending_counts_what_is_owed},
       {"old_mark", an_old_mark_is_no_successor},
+      {"stranger", a_stranger_is_no_successor},
+      {"console_alone", a_console_binds_alone},
       {"keyed_folder", a_successor_takes_the_keyed_folder_over},
       {"drain_leaving", drains_while_it_leaves},
       {"killed_first", a_killed_first_process_runs_nothing_twice},
--- a/tests/ops/units_test.cpp
+++ b/tests/ops/units_test.cpp
@@ -63,7 +63,8 @@
   CHECK(!ops::successor_took_over(old, old));                          // its own mark
   CHECK(!ops::successor_took_over(successor, old));                    // left from before
   CHECK(!ops::successor_took_over(old, ops::handover_mark{300, 1'000'000}));  // same millisecond: no proof
-  CHECK(ops::mark_path("/t", "n3") == "/t/marblewharf-n3.ready");
+  CHECK(ops::mark_path("/t", "n3", "127.0.0.2", 9000) == "/t/marblewharf-n3-127.0.0.2-9000.ready");
+  CHECK(ops::mark_path("/t", "n3", "127.0.0.2", 9000) != ops::mark_path("/t", "n3", "127.0.0.2", 9001));
 }
 
 }  // namespace
