Encode membership datagrams with msgpack-cxx: fleet and version checked first

Fleet and version are read before the rest, so a later version of another shape is told as `version`, not as undecodable.

--- /dev/null
+++ b/tests/membership/wire_test.cpp
@@ -0,0 +1,88 @@
+// The datagrams of membership (ctest -L membership).
+#include <msgpack.hpp>
+
+#include <cstdio>
+#include <string>
+
+#include "../check.hpp"
+#include "membership/wire.hpp"
+
+using namespace marblewharf::membership;
+
+namespace {
+
+message sample() {
+  return message{kind::ping_req,
+                 claim{"127.0.0.1:7001", "z1", "r0", 17, health::alive},
+                 42,
+                 "127.0.0.1:7005",
+                 {claim{"127.0.0.1:7002", "z0", "r0", 3, health::suspect},
+                  claim{"127.0.0.1:7003", "z2", "r1", 9, health::dead}}};
+}
+
+bool same(const message& a, const message& b) {
+  return a.what == b.what && a.sender == b.sender && a.sequence == b.sequence && a.target == b.target &&
+         a.gossip == b.gossip;
+}
+
+void round_trip() {
+  const message m = sample();
+  const decoded d = decode("kurse", encode("kurse", m));
+  CHECK(d.fault == wire_fault::none && d.m && same(*d.m, m));
+}
+
+void another_fleet_or_version() {
+  CHECK(decode("renten", encode("kurse", sample())).fault == wire_fault::foreign);
+  // A later version with another shape: told by its version, whatever follows it.
+  msgpack::sbuffer later;
+  msgpack::packer<msgpack::sbuffer> p(later);
+  p.pack_array(3);
+  p.pack(std::string("kurse"));
+  p.pack(wire_version + 1);
+  p.pack(std::string("whatever comes"));
+  CHECK(decode("kurse", std::string_view(later.data(), later.size())).fault == wire_fault::version);
+}
+
+// Every cut and every changed byte: a whole message or a fault, never a crash (the sanitizers watch).
+void damaged() {
+  const std::string whole = encode("kurse", sample());
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    const decoded d = decode("kurse", whole.substr(0, cut));
+    CHECK(d.fault != wire_fault::none && !d.m);
+  }
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    for (int bit = 0; bit < 8; ++bit) {
+      std::string changed = whole;
+      changed[at] = static_cast<char>(changed[at] ^ (1 << bit));
+      const decoded d = decode("kurse", changed);
+      CHECK((d.fault == wire_fault::none) == d.m.has_value());
+    }
+  }
+  CHECK(decode("kurse", whole + "x").fault == wire_fault::undecodable);
+  CHECK(decode("kurse", "").fault == wire_fault::undecodable);
+}
+
+void gossip_is_cut_to_fit() {
+  message m = sample();
+  for (int i = 0; i < 200; ++i)
+    m.gossip.push_back(claim{"127.0.0.1:" + std::to_string(8000 + i), "zone-" + std::to_string(i), "r", 1,
+                             health::alive});
+  const std::string bytes = encode("kurse", m);
+  CHECK(bytes.size() <= datagram_most);
+  const decoded d = decode("kurse", bytes);
+  CHECK(d.m && d.m->gossip.size() > 2 && d.m->gossip.size() < m.gossip.size());
+  CHECK(d.m->gossip.front() == m.gossip.front());  // the first, the least sent, kept
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::string name = argv[1] != nullptr ? argv[1] : "";
+  if (name == "round_trip") round_trip();
+  else if (name == "foreign") another_fleet_or_version();
+  else if (name == "damaged") damaged();
+  else if (name == "cut_to_fit") gossip_is_cut_to_fit();
+  else CHECK(false);
+  std::printf("%s passed\n", name.c_str());
+  return 0;
+}
