Share calls among zone, region and the rest as Envoy's locality levels, pure

Change: src/failover/locality: level_of (zone, region, rest), shares_of with overprovisioning 1.4 and a panic threshold of 0.5 (Envoy's defaults), draw from a number handed in. An endpoint counts as able where it is healthy, its zone is not declared out in common and it is under its admission limit; the caller says so. Not wired into src/dependencies yet.

--- /dev/null
+++ b/src/failover/locality.hpp
@@ -0,0 +1,50 @@
+// Traffic kept near while that is safe: the share of calls for the caller's zone, its region and the rest, as
+// Envoy's locality priorities with overprovisioning and panic.
+//
+// Free of I/O and of state; any thread. The caller says of each endpoint its level and whether it can take a
+// call (healthy by its own checks, its zone not declared out in common, and under its admission limit), and
+// draws the level with a number in [0, 1) of its own randomness.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace marblewharf::failover {
+
+enum class level : std::uint8_t { zone = 0, region = 1, rest = 2 };
+inline constexpr std::size_t levels = 3;
+
+struct locality_options {
+  double overprovisioning = 1.4;  // a level keeps all its calls while at least 1/1.4 of it can take them
+  double panic_threshold = 0.5;   // under this share able anywhere, calls go over all endpoints alike
+};
+
+struct place {
+  std::string zone;
+  std::string region;
+};
+
+struct endpoint_state {
+  level where = level::rest;
+  bool able = true;  // healthy, its zone not out, under its admission limit
+};
+
+struct level_shares {
+  std::array<double, levels> share{};  // adds up to 1 where any endpoint is there; all 0 where none is
+  bool panic = false;                  // over all endpoints alike, able or not: too few are able anywhere
+};
+
+level level_of(const place& caller, const place& endpoint);
+
+// Level 0 takes min(1, overprovisioning * able share of level 0) of the calls, level 1 the same of what is left,
+// and so on; what no level covers is spread over the levels in proportion to what they took. In panic the
+// shares are the levels' counts of endpoints over all endpoints.
+level_shares shares_of(std::span<const endpoint_state> endpoints, const locality_options& o = {});
+
+// The level for one call, from a number in [0, 1); none where the shares are all 0.
+std::optional<level> draw(const level_shares& s, double uniform);
+
+}  // namespace marblewharf::failover
