Run membership and the zones' view on the node where the operator's file names a fleet

Change: sections `fleet` (name, listen, zone, seeds, probe_interval, probe_timeout, indirect_probes, hold_down) and `zone "NAME"` (region, members) in the operator's file; a fleet without seeds, a zone without a fleet, or a listen address that is no member of its zone is one line naming file, line and key. src/fleet/link: a non-blocking UDP socket on the reactor (no SO_REUSEPORT), swim and zone_view stepped from the serve loop, each node's standing votes on every datagram (membership::ballot, msgpack field 8), at most 64 datagrams a readable round. A zone is reachable where any configured member is alive; nothing is judged before ten probe intervals. Console: show-members, show-zones (one line each, EOF), fleet.* in show-stat; log lines per member change and per verdict. Without a fleet nothing of it is built or bound.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -93,6 +93,25 @@
   std::chrono::nanoseconds longest_retry = std::chrono::seconds(5);
 };
 
+// A fleet of price nodes that learn each other and decide zones out in common (docs/failover.md), from the
+// operator's file. None named: nothing of it runs, as in `run` on the platform, which bars talk among instances.
+struct fleet_zone {
+  std::string name;
+  std::string region;
+  std::vector<endpoint> members;  // the configured members: the quorum counts these, never the ones alive
+};
+struct fleet_config {
+  std::string name;               // carried in every datagram: another fleet's are dropped
+  endpoint listen;                // UDP, for membership; one of the members of `zone`
+  std::string zone;               // this node's
+  std::vector<endpoint> seeds;    // probed until they answer
+  std::vector<fleet_zone> zones;
+  std::chrono::nanoseconds probe_interval = std::chrono::milliseconds(500);
+  std::chrono::nanoseconds probe_timeout = std::chrono::milliseconds(200);
+  unsigned indirect_probes = 3;
+  std::chrono::nanoseconds hold_down = std::chrono::seconds(10);  // reachable that long before a zone is back
+};
+
 struct config {
   std::string name;
   endpoint listen;
@@ -106,6 +125,7 @@
   std::optional<keyed_config> keyed;  // none: no request has a key
   std::optional<dependencies_config> dependencies;  // none: no class is gathered
   std::optional<writes_config> writes;  // none: no write has several participants
+  std::optional<fleet_config> fleet;    // none: membership and failover are off
 };
 
 // Reads the text of a configuration file.
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -183,7 +183,16 @@
     static cfg_opt_t part[] = {CFG_STR("class", nullptr, CFGF_NONE), CFG_STR("from", nullptr, CFGF_NONE),
                                CFG_STR("required", "no", CFGF_NONE), CFG_STR_LIST("fallback", nullptr, CFGF_NONE),
                                CFG_END()};
+    static cfg_opt_t fleet[] = {CFG_STR("name", nullptr, CFGF_NONE),           CFG_STR("listen", nullptr, CFGF_NONE),
+                                CFG_STR("zone", nullptr, CFGF_NONE),           CFG_STR_LIST("seeds", nullptr, CFGF_NONE),
+                                CFG_STR("probe_interval", "500ms", CFGF_NONE), CFG_STR("probe_timeout", "200ms", CFGF_NONE),
+                                CFG_STR("indirect_probes", "3", CFGF_NONE),    CFG_STR("hold_down", "10s", CFGF_NONE),
+                                CFG_END()};
+    static cfg_opt_t zone[] = {CFG_STR("region", nullptr, CFGF_NONE), CFG_STR_LIST("members", nullptr, CFGF_NONE),
+                               CFG_END()};
     static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
+                              CFG_SEC("fleet", fleet, CFGF_NODEFAULT),
+                              CFG_SEC("zone", zone, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("class", request_class, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("dependencies", common, CFGF_NODEFAULT),
                               CFG_SEC("writes", writes, CFGF_NODEFAULT),
@@ -194,7 +203,8 @@
     cfg_set_error_function(cfg_.get(), note_fault);
     for (const auto& [name, options] :
          {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant},
-          {"dependencies", common}, {"writes", writes}, {"dependency", dependency}, {"part", part}}) {
+          {"dependencies", common}, {"writes", writes}, {"dependency", dependency}, {"part", part},
+          {"fleet", fleet}, {"zone", zone}}) {
       for (const cfg_opt_t* o = options; o->name != nullptr; ++o)
         cfg_set_validate_func(cfg_.get(), (std::string(name) + "|" + o->name).c_str(), note_line);
     }
@@ -223,6 +233,7 @@
       throw bad_config(path_ + ":0: keyed is missing, and a class has keyed = yes");
     }
     read_writes(c);
+    read_fleet(c);
   }
 
  private:
@@ -371,6 +382,37 @@
     return all;
   }
 
+  void read_fleet(config& c) const {
+    using namespace std::chrono_literals;
+    if (cfg_size(cfg_.get(), "fleet") == 0) {
+      if (cfg_size(cfg_.get(), "zone") > 0) throw bad_config(path_ + ":0: zone is set, and fleet is missing");
+      return;
+    }
+    const section s = only("fleet");
+    fleet_config f;
+    f.name = s.needed("name");
+    f.listen = s.address("listen", s.needed("listen"));
+    f.zone = s.needed("zone");
+    for (const std::string& seed : s.list("seeds")) f.seeds.push_back(s.address("seeds", seed));
+    if (f.seeds.empty()) s.fail("seeds", "names no seed");
+    f.probe_interval = s.time("probe_interval", 10ms, 60s);
+    f.probe_timeout = s.time("probe_timeout", 1ms, f.probe_interval);
+    f.indirect_probes = static_cast<unsigned>(s.count("indirect_probes", 0, 16));
+    f.hold_down = s.time("hold_down", 0s, 3600s);
+    bool self_configured = false;
+    each("zone", [&](const section& z, const std::string& title) {
+      fleet_zone one{title, z.needed("region"), {}};
+      for (const std::string& m : z.list("members")) {
+        one.members.push_back(z.address("members", m));
+        if (one.members.back() == f.listen && title == f.zone) self_configured = true;
+      }
+      if (one.members.empty()) z.fail("members", "names no member");
+      f.zones.push_back(std::move(one));
+    });
+    if (!self_configured) s.fail("listen", "is no member of the zone named in zone", f.zone);
+    c.fleet = std::move(f);
+  }
+
   void read_writes(config& c) const {
     using namespace std::chrono_literals;
     writes_config w;
--- a/src/console/front.cpp
+++ b/src/console/front.cpp
@@ -117,6 +117,14 @@
     case ops::console_call::show_stat: return "200 figures follow\n" + desk_.figures() + "EOF\n";
     case ops::console_call::drain: return "200 " + desk_.drain() + "\n";
     case ops::console_call::resume: return "200 " + desk_.resume() + "\n";
+    case ops::console_call::show_members: {
+      const std::optional<std::string> lines = desk_.members();
+      return lines ? "200 members follow\n" + *lines + "EOF\n" : "400 no fleet\n";
+    }
+    case ops::console_call::show_zones: {
+      const std::optional<std::string> lines = desk_.zones();
+      return lines ? "200 zones follow\n" + *lines + "EOF\n" : "400 no fleet\n";
+    }
   }
   return "400 unknown call\n";
 }
--- a/src/console/front.hpp
+++ b/src/console/front.hpp
@@ -26,6 +26,9 @@
   virtual std::string figures() = 0;   // lines of `name=value`, each ending in "\n"
   virtual std::string drain() = 0;     // the text after "200 "
   virtual std::string resume() = 0;    // the same
+  // Lines of the fleet, each ending in "\n"; none where the node is in no fleet.
+  virtual std::optional<std::string> members() = 0;
+  virtual std::optional<std::string> zones() = 0;
 };
 
 class server {
--- /dev/null
+++ b/src/fleet/link.cpp
@@ -0,0 +1,215 @@
+#include "fleet/link.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+
+#include <sstream>
+#include <stdexcept>
+
+#include "membership/wire.hpp"
+#include "telemetry/telemetry.hpp"
+
+namespace marblewharf::fleet {
+
+namespace {
+
+std::string text_of(const endpoint& e) { return e.host + ":" + std::to_string(e.port); }
+
+const char* name_of(membership::health h) {
+  switch (h) {
+    case membership::health::alive: return "alive";
+    case membership::health::suspect: return "suspect";
+    case membership::health::dead: return "dead";
+  }
+  return "?";
+}
+
+membership::options options_of(const fleet_config& f) {
+  membership::options o;
+  o.probe_interval = f.probe_interval;
+  o.probe_timeout = f.probe_timeout;
+  o.indirect_probes = f.indirect_probes;
+  return o;
+}
+
+std::map<std::string, std::string> zones_of(const fleet_config& f) {
+  std::map<std::string, std::string> out;
+  for (const fleet_zone& z : f.zones)
+    for (const endpoint& m : z.members) out[text_of(m)] = z.name;
+  return out;
+}
+
+std::string region_in(const fleet_config& f, const std::string& zone) {
+  for (const fleet_zone& z : f.zones)
+    if (z.name == zone) return z.region;
+  return {};
+}
+
+std::vector<std::string> seeds_of(const fleet_config& f) {
+  std::vector<std::string> out;
+  for (const endpoint& s : f.seeds) out.push_back(text_of(s));
+  return out;
+}
+
+}  // namespace
+
+link::link(net::reactor& r, const fleet_config& f, std::uint64_t seed)
+    : reactor_(r),
+      settings_(f),
+      random_(seed),
+      swim_(options_of(f),
+            membership::claim{text_of(f.listen), f.zone, region_in(f, f.zone),
+                              static_cast<std::uint64_t>(net::unix_ms()), membership::health::alive},
+            seeds_of(f), net::steady_now()),
+      view_(zones_of(f), text_of(f.listen), f.hold_down),
+      zone_of_(zones_of(f)),
+      next_look_(net::steady_now() + 10 * f.probe_interval) {
+  for (const fleet_zone& z : f.zones) region_of_[z.name] = z.region;
+  try {
+    socket_.bind(Poco::Net::SocketAddress(f.listen.host, f.listen.port), true, false);
+    socket_.setBlocking(false);
+  } catch (const Poco::Exception& e) {
+    throw std::runtime_error("fleet: " + text_of(f.listen) + ": " + e.displayText());
+  }
+  reactor_.addEventHandler(socket_,
+                           Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
+  telemetry::log("fleet", "%s in zone %s of fleet %s, incarnation %llu", text_of(f.listen).c_str(), f.zone.c_str(),
+                 f.name.c_str(), static_cast<unsigned long long>(swim_.self().incarnation));
+}
+
+link::~link() {
+  reactor_.removeEventHandler(socket_,
+                              Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
+}
+
+void link::on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
+  char datagram[membership::datagram_most + 1];
+  const time_point now = net::steady_now();
+  // A bounded number a round: a flood of datagrams must not keep the clients' sockets waiting.
+  for (int i = 0; i < 64; ++i) {
+    int n = 0;
+    try {
+      if (socket_.available() <= 0) break;
+      Poco::Net::SocketAddress from;
+      n = socket_.receiveFrom(datagram, sizeof datagram, from);
+    } catch (const Poco::Exception&) {
+      break;
+    }
+    if (n <= 0) break;
+    const membership::decoded d =
+        membership::decode(settings_.name, std::string_view(datagram, static_cast<std::size_t>(n)));
+    switch (d.fault) {
+      case membership::wire_fault::foreign: ++figures_.foreign; continue;
+      case membership::wire_fault::version: ++figures_.version; continue;
+      case membership::wire_fault::undecodable: ++figures_.undecodable; continue;
+      case membership::wire_fault::none: break;
+    }
+    ++figures_.received;
+    swim_.receive(now, *d.m);
+    for (const membership::ballot& b : d.m->ballots) view_.hear(now, {b.voter, b.zone, b.epoch, b.out});
+  }
+  log_changes();
+  flush();
+  reactor_.wake();
+}
+
+time_point link::step(time_point now) {
+  time_point due = swim_.step(now, random_);
+  if (now >= next_look_) {
+    next_look_ = now + settings_.probe_interval;
+    // A zone is reachable where any of its configured members is alive in this member's view. Before the first
+    // looks (ten probe intervals) nothing is judged: a member not heard of yet is no member gone.
+    std::map<std::string, bool> reachable;
+    for (const auto& [address, zone] : zone_of_) {
+      const auto found = swim_.members().find(address);
+      if (found != swim_.members().end() && found->second.state == membership::health::alive) reachable[zone] = true;
+      else reachable.try_emplace(zone, false);
+    }
+    std::vector<membership::ballot> mine;
+    for (const auto& [zone, up] : reachable)
+      if (const auto v = view_.observe(now, zone, up)) mine.push_back({v->voter, v->zone, v->epoch, v->out});
+    // The ballots ride on whatever goes out next; each message gets them all (they are few: one a zone).
+    ballots_ = std::move(mine);
+  }
+  log_changes();
+  flush();
+  return std::min(due, next_look_);
+}
+
+void link::flush() {
+  for (membership::envelope& e : swim_.take_outbox()) {
+    e.m.ballots = ballots_;
+    const std::string bytes = membership::encode(settings_.name, e.m);
+    const std::size_t colon = e.to.rfind(':');
+    try {
+      const Poco::Net::SocketAddress to(e.to.substr(0, colon),
+                                        static_cast<Poco::UInt16>(std::stoi(e.to.substr(colon + 1))));
+      if (socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), to) > 0) {
+        ++figures_.sent;
+        continue;
+      }
+    } catch (const std::exception&) {  // Poco's and stoi's: a full buffer, an address that is none
+    }
+    ++figures_.unsent;
+  }
+}
+
+void link::log_changes() {
+  for (const membership::claim& c : swim_.take_changes())
+    telemetry::log("fleet", "member %s of zone %s is %s, incarnation %llu", c.address.c_str(), c.zone.c_str(),
+                   name_of(c.state), static_cast<unsigned long long>(c.incarnation));
+  for (const std::string& zone : view_.zones()) {
+    const failover::verdict v = view_.of(zone);
+    if (logged_[zone].epoch == v.epoch) continue;
+    logged_[zone] = v;
+    telemetry::log("fleet", "zone %s declared %s in common, epoch %llu", zone.c_str(), v.out ? "out" : "back",
+                   static_cast<unsigned long long>(v.epoch));
+  }
+}
+
+std::string link::show_members() const {
+  std::ostringstream out;
+  const membership::claim& self = swim_.self();
+  out << self.address << ' ' << self.zone << ' ' << self.region << " self " << self.incarnation << '\n';
+  for (const auto& [address, c] : swim_.members())
+    out << address << ' ' << c.zone << ' ' << c.region << ' ' << name_of(c.state) << ' ' << c.incarnation << '\n';
+  return out.str();
+}
+
+std::string link::show_zones() const {
+  std::ostringstream out;
+  for (const fleet_zone& z : settings_.zones) {
+    std::size_t alive = 0;
+    for (const endpoint& m : z.members) {
+      const auto found = swim_.members().find(text_of(m));
+      if (text_of(m) == swim_.self().address ||
+          (found != swim_.members().end() && found->second.state == membership::health::alive))
+        ++alive;
+    }
+    const failover::verdict v = view_.of(z.name);
+    out << z.name << ' ' << z.region << ' ' << (v.out ? "out" : "in") << ' ' << v.epoch << ' ' << alive << '/'
+        << z.members.size() << '\n';
+  }
+  return out.str();
+}
+
+std::string link::show_figures() const {
+  std::ostringstream out;
+  std::size_t alive = 0, suspect = 0, dead = 0;
+  for (const auto& [address, c] : swim_.members()) {
+    if (c.state == membership::health::alive) ++alive;
+    if (c.state == membership::health::suspect) ++suspect;
+    if (c.state == membership::health::dead) ++dead;
+  }
+  std::size_t out_zones = 0;
+  for (const std::string& z : view_.zones()) out_zones += view_.of(z).out ? 1 : 0;
+  out << "fleet.members_alive=" << alive << "\nfleet.members_suspect=" << suspect << "\nfleet.members_dead=" << dead
+      << "\nfleet.zones_out=" << out_zones << "\nfleet.local_health=" << swim_.local_health()
+      << "\nfleet.sent=" << figures_.sent << "\nfleet.received=" << figures_.received
+      << "\nfleet.unsent=" << figures_.unsent << "\nfleet.foreign=" << figures_.foreign
+      << "\nfleet.version=" << figures_.version << "\nfleet.undecodable=" << figures_.undecodable
+      << "\nfleet.votes_refused=" << view_.refused() << '\n';
+  return out.str();
+}
+
+}  // namespace marblewharf::fleet
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -83,7 +83,7 @@
 }
 
 void swim::send(const std::string& to, kind what, std::uint64_t sequence, const std::string& target) {
-  message m{what, self_, sequence, target, {}};
+  message m{what, self_, sequence, target, {}, {}};
   // The least sent first: a fresh change reaches the fleet before one that most members have heard.
   std::vector<std::pair<unsigned, std::string>> due;
   for (const auto& [address, left] : sends_left_) due.emplace_back(left, address);
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -36,12 +36,22 @@
 
 enum class kind : std::uint8_t { ping = 0, ack = 1, ping_req = 2, nack = 3 };
 
+// A vote on a zone that rides along (docs/failover.md); membership carries it and reads nothing of it.
+struct ballot {
+  std::string voter;
+  std::string zone;
+  std::uint64_t epoch = 0;
+  bool out = false;
+  bool operator==(const ballot&) const = default;
+};
+
 struct message {
   kind what = kind::ping;
   claim sender;               // the sender as it sees itself: how members learn each other
   std::uint64_t sequence = 0;  // of the probe this belongs to
   std::string target;          // ping_req: whom to probe; ack/nack of a relayed probe: who was probed
   std::vector<claim> gossip;
+  std::vector<ballot> ballots;  // the owner's: swim neither fills nor reads them
 };
 
 struct envelope {
--- a/src/membership/wire.cpp
+++ b/src/membership/wire.cpp
@@ -16,6 +16,13 @@
   MSGPACK_DEFINE(address, zone, region, incarnation, state)
 };
 
+struct wire_ballot {
+  std::string voter, zone;
+  std::uint64_t epoch = 0;
+  bool out = false;
+  MSGPACK_DEFINE(voter, zone, epoch, out)
+};
+
 struct wire_message {
   std::string fleet;
   std::uint32_t version = 0;
@@ -24,7 +31,8 @@
   std::uint64_t sequence = 0;
   std::string target;
   std::vector<wire_claim> gossip;
-  MSGPACK_DEFINE(fleet, version, what, sender, sequence, target, gossip)
+  std::vector<wire_ballot> ballots;
+  MSGPACK_DEFINE(fleet, version, what, sender, sequence, target, gossip, ballots)
 };
 
 wire_claim to_wire(const claim& c) {
@@ -49,11 +57,17 @@
 }  // namespace
 
 std::string encode(const std::string& fleet, const message& m) {
-  wire_message w{fleet, wire_version, static_cast<std::uint8_t>(m.what), to_wire(m.sender), m.sequence, m.target, {}};
+  wire_message w{fleet, wire_version, static_cast<std::uint8_t>(m.what), to_wire(m.sender), m.sequence, m.target,
+                 {}, {}};
   for (const claim& c : m.gossip) w.gossip.push_back(to_wire(c));
+  for (const ballot& b : m.ballots) w.ballots.push_back({b.voter, b.zone, b.epoch, b.out});
   std::string bytes = pack(w);
-  while (bytes.size() > datagram_most && !w.gossip.empty()) {
-    w.gossip.pop_back();
+  while (bytes.size() > datagram_most && (!w.gossip.empty() || !w.ballots.empty())) {
+    if (!w.ballots.empty()) {  // ballots are sent anew at every look; the gossip of a change is not
+      w.ballots.pop_back();
+    } else {
+      w.gossip.pop_back();
+    }
     bytes = pack(w);
   }
   return bytes;
@@ -71,11 +85,12 @@
     if (o.via.array.ptr[0].as<std::string>() != fleet) return {std::nullopt, wire_fault::foreign};
     if (o.via.array.ptr[1].as<std::uint32_t>() != wire_version) return {std::nullopt, wire_fault::version};
     const auto w = o.as<wire_message>();
-    if (o.via.array.size != 7 || w.what > static_cast<std::uint8_t>(kind::nack))
+    if (o.via.array.size != 8 || w.what > static_cast<std::uint8_t>(kind::nack))
       return {std::nullopt, wire_fault::undecodable};
     const std::optional<claim> sender = from_wire(w.sender);
     if (!sender) return {std::nullopt, wire_fault::undecodable};
-    message m{static_cast<kind>(w.what), *sender, w.sequence, w.target, {}};
+    message m{static_cast<kind>(w.what), *sender, w.sequence, w.target, {}, {}};
+    for (const wire_ballot& b : w.ballots) m.ballots.push_back({b.voter, b.zone, b.epoch, b.out});
     for (const wire_claim& g : w.gossip) {
       const std::optional<claim> c = from_wire(g);
       if (!c) return {std::nullopt, wire_fault::undecodable};
--- a/src/membership/wire.hpp
+++ b/src/membership/wire.hpp
@@ -24,7 +24,7 @@
   wire_fault fault = wire_fault::none;
 };
 
-// Gossip is cut from the end until the datagram fits in datagram_most; the rest of the message always fits
+// Ballots, then gossip, are cut from the end until the datagram fits in datagram_most; the rest always fits
 // where addresses, zones and regions are under 256 bytes each.
 std::string encode(const std::string& fleet, const message& m);
 decoded decode(const std::string& fleet, std::string_view datagram);
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -17,6 +17,7 @@
 
 #include "catalog/reporter.hpp"
 #include "console/front.hpp"
+#include "fleet/link.hpp"
 #include "core/dispatcher.hpp"
 #include "dependencies/gatherer.hpp"
 #include "dependencies/writer.hpp"
@@ -147,13 +148,22 @@
 class operators_desk : public console::desk {
  public:
   operators_desk(const config& settings, const dispatcher& table, const telemetry::counters& counters,
-                 const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain)
-      : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain) {
+                 const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain,
+                 const fleet::link* in_fleet)
+      : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain), fleet_(in_fleet) {
     for (const auto& c : settings.settings.classes) classes_.push_back(c.name);
   }
 
   bool ready() override { return runtime_.up() && !front_.leaving(); }
-  std::string figures() override { return ops::render_figures(counters_, classes_, desk_.unanswered()); }
+  std::string figures() override {
+    return ops::render_figures(counters_, classes_, desk_.unanswered()) + (fleet_ ? fleet_->show_figures() : "");
+  }
+  std::optional<std::string> members() override {
+    return fleet_ ? std::optional<std::string>(fleet_->show_members()) : std::nullopt;
+  }
+  std::optional<std::string> zones() override {
+    return fleet_ ? std::optional<std::string>(fleet_->show_zones()) : std::nullopt;
+  }
   std::string drain() override {
     if (drain_.drain(net::steady_now())) telemetry::log("console", "drain: health checks answer bad");
     return "draining";
@@ -169,6 +179,7 @@
   const runtime::link& runtime_;
   const thrift::server& front_;
   ops::drain_state& drain_;
+  const fleet::link* fleet_;  // none: in no fleet
   std::vector<std::string> classes_;
 };
 
@@ -212,7 +223,10 @@
   thrift::server front(reactor, settings, desk, runtime, counters);
   ops::drain_state drained;
   front.answer_health_by([&] { return drained.healthy(desk.healthy()); });
-  operators_desk operators(settings, desk, counters, runtime, front, drained);
+  // Membership and failover: only where the operator's file names a fleet, never in `run` on the platform.
+  std::optional<fleet::link> fleet;
+  if (settings.fleet) fleet.emplace(reactor, *settings.fleet, random_number());
+  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr);
   std::optional<console::server> console;
   if (settings.console) {
     console.emplace(reactor, bounds, *settings.console, operators, counters);
@@ -300,7 +314,8 @@
                   second_front ? second_front->step(now) : time_point::max(),
                   gatherer ? gatherer->step(now) : time_point::max(),
                   writer ? writer->step(now) : time_point::max(),
-                  console ? console->step(now) : time_point::max(), next_lock_try});
+                  console ? console->step(now) : time_point::max(),
+                  fleet ? fleet->step(now) : time_point::max(), next_lock_try});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/src/ops/console_line.cpp
+++ b/src/ops/console_line.cpp
@@ -9,6 +9,8 @@
   line = line.substr(first, line.find_last_not_of(" \t") - first + 1);
   if (line == "ready") return console_call::ready;
   if (line == "show-stat") return console_call::show_stat;
+  if (line == "show-members") return console_call::show_members;
+  if (line == "show-zones") return console_call::show_zones;
   if (line == "drain") return console_call::drain;
   if (line == "resume") return console_call::resume;
   return std::nullopt;
--- a/tests/membership/wire_test.cpp
+++ b/tests/membership/wire_test.cpp
@@ -17,12 +17,13 @@
                  42,
                  "127.0.0.1:7005",
                  {claim{"127.0.0.1:7002", "z0", "r0", 3, health::suspect},
-                  claim{"127.0.0.1:7003", "z2", "r1", 9, health::dead}}};
+                  claim{"127.0.0.1:7003", "z2", "r1", 9, health::dead}},
+                 {ballot{"127.0.0.1:7001", "z2", 3, true}}};
 }
 
 bool same(const message& a, const message& b) {
   return a.what == b.what && a.sender == b.sender && a.sequence == b.sequence && a.target == b.target &&
-         a.gossip == b.gossip;
+         a.gossip == b.gossip && a.ballots == b.ballots;
 }
 
 void round_trip() {
--- /dev/null
+++ b/tests/net/fleet_test.cpp
@@ -0,0 +1,158 @@
+// A fleet of nine price nodes in three zones on loopback: membership and zones decided in common, with
+// processes killed, restarted and paused between them (ctest -L failover).
+#include <memory>
+#include <sstream>
+
+#include "harness.hpp"
+
+using namespace harness;
+
+namespace {
+
+// A UDP port that was free a moment ago on this test's own address.
+int free_udp_port() {
+  const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_in a = address_of(0);
+  CHECK(::bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+  socklen_t size = sizeof a;
+  CHECK(::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size) == 0);
+  ::close(fd);
+  return ntohs(a.sin_port);
+}
+
+std::string call(int port, const std::string& line) {
+  connection c = connection::to(port);
+  c.send(line);
+  return c.rest();
+}
+
+struct member {
+  runtime r;
+  int console = free_port();
+  std::unique_ptr<node> n;
+};
+
+class fleet {
+ public:
+  static constexpr int zones = 3, per_zone = 3;
+
+  fleet() {
+    for (int i = 0; i < zones * per_zone; ++i) udp_.push_back(free_udp_port());
+    for (int i = 0; i < zones * per_zone; ++i) members_.push_back(std::make_unique<member>());
+    for (int i = 0; i < zones * per_zone; ++i) start(i);
+  }
+  void start(int i) {
+    member& m = *members_[static_cast<std::size_t>(i)];
+    m.n.reset();
+    node_options o;
+    o.operators = operators(i);
+    o.edit_from = "\"seed\"";
+    o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(m.console) + "\",\"seed\"";
+    m.n = std::make_unique<node>(m.r, o);
+    m.r.up();
+  }
+  node& at(int i) { return *members_[static_cast<std::size_t>(i)]->n; }
+  std::string zones_seen_by(int i) { return call(members_[static_cast<std::size_t>(i)]->console, "show-zones\n"); }
+  std::string members_seen_by(int i) {
+    return call(members_[static_cast<std::size_t>(i)]->console, "show-members\n");
+  }
+  // Waits until every member in `observers` says so of zone z in show-zones ("z2 r0 out" or "z2 r0 in").
+  void all_say(const std::vector<int>& observers, const std::string& line) {
+    const auto until = clock::now() + std::chrono::milliseconds(3 * patience_ms);
+    for (const int i : observers) {
+      while (zones_seen_by(i).find(line) == std::string::npos) {
+        if (clock::now() > until) std::fprintf(stderr, "member %d:\n%s", i, zones_seen_by(i).c_str());
+        CHECK(clock::now() <= until);
+        std::this_thread::sleep_for(50ms);
+      }
+    }
+  }
+  std::string address(int i) const { return own_host() + ":" + std::to_string(udp_[static_cast<std::size_t>(i)]); }
+
+ private:
+  std::string operators(int i) const {
+    std::ostringstream o;
+    o << "fleet {\n name = kurse\n listen = \"" << address(i) << "\"\n zone = z" << i / per_zone
+      << "\n seeds = {\"" << address(0) << "\", \"" << address(per_zone) << "\"}\n"
+      << " probe_interval = 100ms\n probe_timeout = 40ms\n hold_down = 1s\n}\n";
+    for (int z = 0; z < zones; ++z) {
+      o << "zone z" << z << " {\n region = r0\n members = {";
+      for (int k = 0; k < per_zone; ++k) o << (k > 0 ? ", " : "") << "\"" << address(z * per_zone + k) << "\"";
+      o << "}\n}\n";
+    }
+    return o.str();
+  }
+
+  std::vector<int> udp_;
+  std::vector<std::unique_ptr<member>> members_;
+};
+
+const std::vector<int> everyone = {0, 1, 2, 3, 4, 5, 6, 7, 8};
+const std::vector<int> first_two_zones = {0, 1, 2, 3, 4, 5};
+
+void all_in(fleet& f) {
+  for (int z = 0; z < fleet::zones; ++z) f.all_say(everyone, "z" + std::to_string(z) + " r0 in");
+  // Every member knows the eight others alive.
+  for (const int i : everyone) {
+    const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+    while (true) {
+      const std::string text = f.members_seen_by(i);
+      std::size_t alive = 0;
+      for (std::size_t at = text.find(" alive "); at != std::string::npos; at = text.find(" alive ", at + 1)) ++alive;
+      if (alive == 8) break;
+      CHECK(clock::now() < until);
+      std::this_thread::sleep_for(50ms);
+    }
+  }
+}
+
+void converges() {
+  fleet f;
+  all_in(f);
+  std::this_thread::sleep_for(2s);  // past the first looks at the zones (ten probe intervals): none is out
+  all_in(f);
+  for (const int i : everyone) CHECK(f.at(i).log().find("declared out") == std::string::npos);
+  const std::string text = f.members_seen_by(4);
+  CHECK(text.rfind("200 members follow\n" + f.address(4) + " z1 r0 self ", 0) == 0);
+  CHECK(text.size() >= 4 && text.substr(text.size() - 4) == "EOF\n");
+}
+
+// A whole zone killed at once: the others declare it out; restarted cold with the same addresses and new
+// incarnations, it is back after the hold-down.
+void zone_killed_and_restarted() {
+  fleet f;
+  all_in(f);
+  for (int i = 6; i < 9; ++i) {
+    f.at(i).signal(SIGKILL);
+    f.at(i).wait();
+  }
+  f.all_say(first_two_zones, "z2 r0 out");
+  f.at(0).logged("zone z2 declared out in common");
+  for (int i = 6; i < 9; ++i) f.start(i);
+  all_in(f);
+  f.at(0).logged("zone z2 declared back in common");
+}
+
+// A node paused past its suspicion timeout and resumed: it is suspected or dead meanwhile, then refutes with a
+// higher incarnation; its zone, two of three alive, is never declared out.
+void paused_and_resumed() {
+  fleet f;
+  all_in(f);
+  f.at(4).signal(SIGSTOP);
+  f.at(0).logged("is dead");
+  f.at(4).signal(SIGCONT);
+  all_in(f);
+  CHECK(f.at(0).log().find("zone z1 declared out") == std::string::npos);
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::string name = argv[1] != nullptr ? argv[1] : "";
+  if (name == "converges") converges();
+  else if (name == "zone_killed") zone_killed_and_restarted();
+  else if (name == "paused") paused_and_resumed();
+  else CHECK(false);
+  std::printf("%s passed\n", name.c_str());
+  return 0;
+}
--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -62,7 +62,12 @@
   CHECK(c.uwsgi->request_class.values.at("/b") == "kurs-meldung" && c.uwsgi->tenant.values.at("i") == "isar-invest");
   CHECK(c.uwsgi->default_cost[1] == 1500 && c.uwsgi->held_kb == 8);
   CHECK(c.keyed && c.keyed->windows[0] == 0s && c.keyed->windows[1] == 90s && c.keyed->space == 64u << 20);
-  CHECK(!read("").uwsgi && !read("").keyed);
+  CHECK(!read("").uwsgi && !read("").keyed && !read("").fleet);  // no fleet named: membership is off
+  const config f = read(
+      "fleet {\n  name = kurse\n  listen = \"127.0.0.1:7946\"\n  zone = z0\n  seeds = {\"127.0.0.1:7947\"}\n"
+      "  hold_down = 3s\n}\nzone z0 {\n  region = r\n  members = {\"127.0.0.1:7946\", \"127.0.0.1:7947\"}\n}\n");
+  CHECK(f.fleet && f.fleet->name == "kurse" && f.fleet->seeds.size() == 1 && f.fleet->hold_down == 3s);
+  CHECK(f.fleet->zones.size() == 1 && f.fleet->zones[0].members.size() == 2);
 }
 
 void names_file_line_and_key() {
@@ -78,6 +83,12 @@
       {"keyed {\n  folder = a\n  thrift_field = k\n  space = 12parsecs\n}\n",
        "/node.conf:4: keyed.space is no size such as 64MiB: \"12parsecs\""},
       {"keyed {\n  folder = a\n}\n", "/node.conf:3: keyed.uwsgi_var and thrift_field are both missing (the section ends on this line)"},
+      {"fleet {\n  name = kurse\n  listen = \"127.0.0.1:7946\"\n  zone = z0\n}\n",
+       "/node.conf:5: fleet.seeds names no seed (the section ends on this line)"},
+      {"zone z0 {\n  region = r\n}\n", "/node.conf:0: zone is set, and fleet is missing"},
+      {"fleet {\n  name = kurse\n  listen = \"127.0.0.1:7946\"\n  zone = z0\n  seeds = {\"127.0.0.1:7947\"}\n}\n"
+       "zone z0 {\n  region = r\n  members = {\"127.0.0.1:7947\"}\n}\n",
+       "/node.conf:3: fleet.listen is no member of the zone named in zone: \"z0\""},
   };
   for (const auto& [text, message] : faults) {
     if (fault(text) != message) std::fprintf(stderr, "got: %s\n", fault(text).c_str());
