Test datagrams of another fleet, a later version and garbage sent to a running node

Change: fleet.strangers: nine nodes; member 0 gets a claim that member 1 is dead in another fleet's name, the same in its own name with the version raised, and an HTTP line. Each is counted in its own figure (fleet.foreign, fleet.version, fleet.undecodable) and none changes what member 0 believes.

--- a/tests/net/fleet_test.cpp
+++ b/tests/net/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "harness.hpp"
+#include "membership/wire.hpp"
 
 using namespace harness;
 
@@ -68,6 +69,8 @@
     }
   }
   std::string address(int i) const { return own_host() + ":" + std::to_string(udp_[static_cast<std::size_t>(i)]); }
+  int udp(int i) const { return udp_[static_cast<std::size_t>(i)]; }
+  int console(int i) const { return members_[static_cast<std::size_t>(i)]->console; }
 
  private:
   std::string operators(int i) const {
@@ -145,6 +148,44 @@
   CHECK(f.at(0).log().find("zone z1 declared out") == std::string::npos);
 }
 
+// A figure of show-stat, by name.
+long figure(int console, const std::string& name) {
+  const std::string text = call(console, "show-stat\n");
+  const std::size_t at = text.find("\n" + name + "=");
+  CHECK(at != std::string::npos);
+  return std::stol(text.substr(at + name.size() + 2));
+}
+
+void send_datagram(int port, const std::string& bytes) {
+  const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in a = address_of(port);
+  CHECK(::sendto(fd, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&a), sizeof a) ==
+        static_cast<ssize_t>(bytes.size()));
+  ::close(fd);
+}
+
+// Datagrams of another fleet, of a later version, and garbage: each counted apart, none disturbs the fleet.
+void strangers_are_counted_and_dropped() {
+  fleet f;
+  all_in(f);
+  using namespace marblewharf::membership;
+  // A claim that member 1 is dead, in another fleet's name: believed, it would make member 0 say so.
+  const message lie{kind::ping, claim{"127.0.0.9:1", "z0", "r0", 1, health::alive}, 1, "",
+                    {claim{f.address(1), "z0", "r0", 1'000'000'000'000'000, health::dead}}, {}};
+  send_datagram(f.udp(0), encode("renten", lie));
+  std::string later = encode("kurse", lie);
+  later[7] = static_cast<char>(wire_version + 1);  // fixarray, fixstr "kurse" (6 bytes), then the version
+  send_datagram(f.udp(0), later);
+  send_datagram(f.udp(0), "GET / HTTP/1.0\r\n\r\n");
+  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (figure(f.console(0), "fleet.undecodable") < 1) CHECK(clock::now() < until);
+  CHECK(figure(f.console(0), "fleet.foreign") == 1);
+  CHECK(figure(f.console(0), "fleet.version") == 1);
+  CHECK(f.members_seen_by(0).find(f.address(1) + " z0 r0 alive") != std::string::npos);
+  CHECK(f.members_seen_by(0).find("127.0.0.9:1") == std::string::npos);
+  all_in(f);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -152,6 +193,7 @@
   if (name == "converges") converges();
   else if (name == "zone_killed") zone_killed_and_restarted();
   else if (name == "paused") paused_and_resumed();
+  else if (name == "strangers") strangers_are_counted_and_dropped();
   else CHECK(false);
   std::printf("%s passed\n", name.c_str());
   return 0;
