--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -102,7 +102,9 @@
 };
 struct fleet_config {
   std::string name;               // carried in every datagram: another fleet's are dropped
-  endpoint listen;                // UDP, for membership; one of the members of `zone`
+  endpoint listen;                // UDP, for membership
+  endpoint advertise;             // what the others send to; one of the members of `zone`. As `listen` unless set
+                                  // (a relay between nodes, as the fleet tests have, takes another)
   std::string zone;               // this node's
   std::vector<endpoint> seeds;    // probed until they answer
   std::vector<fleet_zone> zones;
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -58,10 +58,10 @@
       settings_(f),
       random_(seed),
       swim_(options_of(f),
-            membership::claim{text_of(f.listen), f.zone, region_in(f, f.zone),
+            membership::claim{text_of(f.advertise), f.zone, region_in(f, f.zone),
                               static_cast<std::uint64_t>(net::unix_ms()), membership::health::alive},
             seeds_of(f), net::steady_now()),
-      view_(zones_of(f), text_of(f.listen), f.hold_down),
+      view_(zones_of(f), text_of(f.advertise), f.hold_down),
       zone_of_(zones_of(f)),
       next_look_(net::steady_now() + 10 * f.probe_interval) {
   for (const fleet_zone& z : f.zones) region_of_[z.name] = z.region;
@@ -73,7 +73,7 @@
   }
   reactor_.addEventHandler(socket_,
                            Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
-  telemetry::log("fleet", "%s in zone %s of fleet %s, incarnation %llu", text_of(f.listen).c_str(), f.zone.c_str(),
+  telemetry::log("fleet", "%s in zone %s of fleet %s, incarnation %llu", text_of(f.advertise).c_str(), f.zone.c_str(),
                  f.name.c_str(), static_cast<unsigned long long>(swim_.self().incarnation));
 }
 
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -213,7 +213,20 @@
     }
     next_probe_ = now + scaled(options_.probe_interval);
   }
-  time_point due = next_probe_;
+  if (options_.reconnect_every > 0 && now >= next_reconnect_) {
+    // Guards against a partition that never heals: once both sides hold each other dead nobody probes across,
+    // so one member held dead is pinged now and then, told that it is held dead, and refutes if it lives.
+    next_reconnect_ = now + options_.reconnect_every * scaled(options_.probe_interval);
+    std::vector<std::string> dead;
+    for (const auto& [address, c] : members_)
+      if (c.state == health::dead) dead.push_back(address);
+    if (!dead.empty()) {
+      const std::string& target = dead[std::uniform_int_distribution<std::size_t>(0, dead.size() - 1)(random)];
+      spread(members_[target]);
+      send(target, kind::ping, 0);  // sequence 0: no probe of this member's, nor a relay, waits for its ack
+    }
+  }
+  time_point due = std::min(next_probe_, options_.reconnect_every > 0 ? next_reconnect_ : time_point::max());
   if (!probe_.target.empty() && !probe_.acked && !probe_.indirect_sent)
     due = std::min(due, probe_.sent + scaled(options_.probe_timeout));
   for (const relay& r : relays_) due = std::min(due, r.until);
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -69,6 +69,7 @@
   unsigned retransmit_mult = 4;        // each change is sent this many times ceil(log10(n + 1))
   unsigned gossip_per_message = 8;
   unsigned health_max = 8;             // Lifeguard's local health: 0 is well; stretches own timeouts
+  unsigned reconnect_every = 5;        // probe intervals between pings to one member held dead (0: never)
 };
 
 class swim {
@@ -136,6 +137,7 @@
   std::vector<relay> relays_;
   std::uint64_t sequence_ = 0;
   time_point next_probe_;
+  time_point next_reconnect_{};
   unsigned health_score_ = 0;
   std::vector<envelope> outbox_;
   std::vector<claim> changes_;
