--- a/include/marblewharf/gathering.hpp
+++ b/include/marblewharf/gathering.hpp
@@ -29,6 +29,15 @@
   std::chrono::nanoseconds after;
 };
 
+// Where an endpoint is, seen from this process: calls stay near while enough of what is near can take them.
+enum class nearness { own_zone, own_region, elsewhere };
+struct near_rules {
+  double overprovisioning = 1.4;  // a level keeps all calls while at least 1/1.4 of it can take them
+  double panic_threshold = 0.5;   // where the levels cannot take all calls and fewer than this share of all endpoints
+                                  // can, calls go over all alike
+  unsigned most_each = 0;         // calls at once at one endpoint before further ones go on; 0: no bound
+};
+
 struct source {
   std::string name;
   std::vector<source_call> endpoints;
@@ -36,6 +45,8 @@
   unsigned tries = 2;            // first call and further attempts; 1 where a call may not be made twice
   double hedge_share = 0;        // second copies of slow calls for each first call; 0 = none
   unsigned threads = 8;          // calls at once, at most: a source that hangs takes no more
+  std::vector<nearness> where{}; // by endpoint; empty: all alike
+  near_rules near{};
 };
 
 struct stand_in_for {
@@ -77,6 +88,10 @@
   // Blocks until all parts are there or replaced, `within` has passed, or a required part is missing. From any thread.
   gathered gather(std::uint64_t subject, std::chrono::nanoseconds within);
 
+  // What the embedder knows of an endpoint's place: its zone is out, its process is suspected. Calls go there again
+  // once it is said to be reachable. Only for a source with `where`. From any thread. Throws std::invalid_argument.
+  void set_reachable(const std::string& source, std::size_t endpoint, bool reachable);
+
  private:
   class impl;
   std::unique_ptr<impl> impl_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -11,6 +11,12 @@
 #include "settings.hpp"
 
 namespace marblewharf {
+
+std::string fleet_config::region_of(const std::string& named) const {
+  for (const fleet_zone& z : zones)
+    if (z.name == named) return z.region;
+  return {};
+}
 namespace {
 
 const json::value* member(const json::value& in, const std::string& key) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -67,6 +67,7 @@
   std::vector<endpoint> at;
   std::string path;  // PATH_INFO of its calls; empty: the request's own
   bool one_phase = false;  // of writes: it cannot prepare
+  std::vector<std::string> places;  // by endpoint: its zone, or the fleet's member there; empty: not known
 };
 struct dependencies_config {
   std::vector<dependency_config> endpoints;                 // by dependency
@@ -111,7 +112,21 @@
   std::chrono::nanoseconds probe_interval = std::chrono::milliseconds(500);
   std::chrono::nanoseconds probe_timeout = std::chrono::milliseconds(200);
   unsigned indirect_probes = 3;
-  std::chrono::nanoseconds hold_down = std::chrono::seconds(10);  // reachable that long before a zone is back
+  double suspicion_min_rounds = 4;     // shortest suspicion, in probe intervals times log10 of the members
+  double suspicion_max_factor = 6;     // the longest over the shortest
+  unsigned suspicion_confirmations = 3;
+  unsigned retransmits = 4;            // of each change, times log10 of the members
+  unsigned gossip_per_message = 8;
+  unsigned refresh_per_message = 2;    // claims of the whole table in turn, beside the changes
+  unsigned health_most = 8;
+  unsigned reconnect_every = 5;        // probe intervals; 0: a member held dead is never pinged
+  std::chrono::nanoseconds hold_down = std::chrono::seconds(10);  // healthy that long before a zone is back
+  std::chrono::nanoseconds vote_lease = std::chrono::seconds(10); // a vote not issued again stands that long
+  unsigned votes_per_message = 12;     // of others, passed on
+  std::chrono::nanoseconds start_grace = std::chrono::seconds(5); // a member not heard of since the start is not gone
+
+  // The region of a zone; empty: no such zone.
+  std::string region_of(const std::string& zone) const;
 };
 
 struct config {
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -175,6 +175,10 @@
                                      CFG_STR("most_out", "0.5", CFGF_NONE),
                                      CFG_STR("ramp", "5s", CFGF_NONE),
                                      CFG_STR("one_phase", "no", CFGF_NONE),
+                                     CFG_STR_LIST("places", nullptr, CFGF_NONE),
+                                     CFG_STR("overprovisioning", "1.4", CFGF_NONE),
+                                     CFG_STR("panic", "0.5", CFGF_NONE),
+                                     CFG_STR("most_each", "0", CFGF_NONE),
                                      CFG_END()};
     static cfg_opt_t writes[] = {CFG_STR("folder", nullptr, CFGF_NONE),     CFG_STR("segment", "8MiB", CFGF_NONE),
                                  CFG_STR("space", "256MiB", CFGF_NONE),     CFG_STR("step_var", nullptr, CFGF_NONE),
@@ -184,9 +188,17 @@
                                CFG_STR("required", "no", CFGF_NONE), CFG_STR_LIST("fallback", nullptr, CFGF_NONE),
                                CFG_END()};
     static cfg_opt_t fleet[] = {CFG_STR("name", nullptr, CFGF_NONE),           CFG_STR("listen", nullptr, CFGF_NONE),
-                                CFG_STR("advertise", nullptr, CFGF_NONE),      CFG_STR("zone", nullptr, CFGF_NONE),           CFG_STR_LIST("seeds", nullptr, CFGF_NONE),
-                                CFG_STR("probe_interval", "500ms", CFGF_NONE), CFG_STR("probe_timeout", "200ms", CFGF_NONE),
-                                CFG_STR("indirect_probes", "3", CFGF_NONE),    CFG_STR("hold_down", "10s", CFGF_NONE),
+                                CFG_STR("advertise", nullptr, CFGF_NONE),      CFG_STR("zone", nullptr, CFGF_NONE),
+                                CFG_STR_LIST("seeds", nullptr, CFGF_NONE),     CFG_STR("probe_interval", "500ms", CFGF_NONE),
+                                CFG_STR("probe_timeout", "200ms", CFGF_NONE),  CFG_STR("indirect_probes", "3", CFGF_NONE),
+                                CFG_STR("suspicion_min_rounds", "4", CFGF_NONE),
+                                CFG_STR("suspicion_max_factor", "6", CFGF_NONE),
+                                CFG_STR("suspicion_confirmations", "3", CFGF_NONE),
+                                CFG_STR("retransmits", "4", CFGF_NONE),        CFG_STR("gossip_per_message", "8", CFGF_NONE),
+                                CFG_STR("refresh_per_message", "2", CFGF_NONE),
+                                CFG_STR("health_most", "8", CFGF_NONE),        CFG_STR("reconnect_every", "5", CFGF_NONE),
+                                CFG_STR("hold_down", "10s", CFGF_NONE),        CFG_STR("vote_lease", "10s", CFGF_NONE),
+                                CFG_STR("votes_per_message", "12", CFGF_NONE), CFG_STR("start_grace", "5s", CFGF_NONE),
                                 CFG_END()};
     static cfg_opt_t zone[] = {CFG_STR("region", nullptr, CFGF_NONE), CFG_STR_LIST("members", nullptr, CFGF_NONE),
                                CFG_END()};
@@ -225,6 +237,7 @@
       index_of(s, c.settings.tenants, title);
       map_values(s, second.tenant, title);
     });
+    read_fleet(c);  // first: dependencies name places in it
     if (cfg_size(cfg_.get(), "uwsgi") > 0) turn_on_uwsgi(c, read_uwsgi(std::move(second)));
     if (cfg_size(cfg_.get(), "dependency") > 0) turn_on_dependencies(c, read_dependencies(c));
     if (cfg_size(cfg_.get(), "keyed") > 0) {
@@ -233,7 +246,6 @@
       throw bad_config(path_ + ":0: keyed is missing, and a class has keyed = yes");
     }
     read_writes(c);
-    read_fleet(c);
   }
 
  private:
@@ -323,7 +335,9 @@
       all.cache = s.bytes("cache", 0, std::uint64_t{1} << 32);
     }
     each("dependency", [&](const section& s, const std::string& title) {
-      dependency_config d{title, {}, s.text("path")};
+      dependency_config d;
+      d.name = title;
+      d.path = s.text("path");
       for (const std::string& at : s.list("endpoints")) d.at.push_back(s.address("endpoints", at));
       if (d.at.empty()) s.fail("endpoints", "names no endpoint");
       dependencies::dependency_rules r;
@@ -337,6 +351,7 @@
       r.hedge_share = s.number("hedge_share", 0, 1);
       r.most_in_flight = static_cast<double>(s.count("most_in_flight", 1, 4096));
       d.one_phase = s.flag("one_phase");
+      read_places(s, c, d, r);
       r.health.failures = static_cast<unsigned>(s.count("failures", 1, 1000));
       r.health.out = s.time("out", 1ms, 600s);
       r.health.most_out = s.number("most_out", 0, 1);
@@ -382,6 +397,32 @@
     return all;
   }
 
+  // Where a dependency's endpoints are, in the fleet's own terms: each a zone, or a member, whose zone counts then.
+  void read_places(const section& s, const config& c, dependency_config& d, dependencies::dependency_rules& r) const {
+    d.places = s.list("places");
+    r.near.rules.overprovisioning = s.number("overprovisioning", 1, 10);
+    r.near.rules.panic_threshold = s.number("panic", 0, 1);
+    r.near.rules.most_each = static_cast<unsigned>(s.count("most_each", 0, 4096));
+    if (d.places.empty()) {
+      if (r.near.rules.most_each > 0) s.fail("most_each", "is set, and places is missing");
+      return;
+    }
+    if (!c.fleet) s.fail("places", "is set, and fleet is missing");
+    if (d.places.size() != d.at.size()) s.fail("places", "are not as many as endpoints");
+    const failover::place own{c.fleet->zone, c.fleet->region_of(c.fleet->zone)};
+    for (const std::string& place : d.places) {
+      std::string zone;
+      for (const fleet_zone& z : c.fleet->zones) {
+        const bool member = std::any_of(z.members.begin(), z.members.end(), [&](const endpoint& m) {
+          return m.host + ":" + std::to_string(m.port) == place;
+        });
+        if (z.name == place || member) zone = z.name;
+      }
+      if (zone.empty()) s.fail("places", "names neither a zone nor a member of the fleet", place);
+      r.near.where.push_back(failover::level_of(own, {zone, c.fleet->region_of(zone)}));
+    }
+  }
+
   void read_fleet(config& c) const {
     using namespace std::chrono_literals;
     if (cfg_size(cfg_.get(), "fleet") == 0) {
@@ -399,7 +440,19 @@
     f.probe_interval = s.time("probe_interval", 10ms, 60s);
     f.probe_timeout = s.time("probe_timeout", 1ms, f.probe_interval);
     f.indirect_probes = static_cast<unsigned>(s.count("indirect_probes", 0, 16));
+    f.suspicion_min_rounds = s.number("suspicion_min_rounds", 1, 100);
+    f.suspicion_max_factor = s.number("suspicion_max_factor", 1, 100);
+    f.suspicion_confirmations = static_cast<unsigned>(s.count("suspicion_confirmations", 0, 16));
+    f.retransmits = static_cast<unsigned>(s.count("retransmits", 1, 32));
+    f.gossip_per_message = static_cast<unsigned>(s.count("gossip_per_message", 1, 32));
+    f.refresh_per_message = static_cast<unsigned>(s.count("refresh_per_message", 0, 32));
+    f.health_most = static_cast<unsigned>(s.count("health_most", 0, 64));
+    f.reconnect_every = static_cast<unsigned>(s.count("reconnect_every", 0, 1000));
     f.hold_down = s.time("hold_down", 0s, 3600s);
+    // A vote is issued four times in its lease, and each time rides on probes.
+    f.vote_lease = s.time("vote_lease", 8 * f.probe_interval, 3600s);
+    f.votes_per_message = static_cast<unsigned>(s.count("votes_per_message", 1, 16));
+    f.start_grace = s.time("start_grace", 0s, 3600s);
     bool self_configured = false;
     each("zone", [&](const section& z, const std::string& title) {
       fleet_zone one{title, z.needed("region"), {}};
--- a/src/dependencies/conductor.cpp
+++ b/src/dependencies/conductor.cpp
@@ -12,7 +12,7 @@
   for (dependency_rules& r : rules) {
     // Starts in the middle: a dependency that is slow already is not met by all that it could take when well.
     const double start = (r.least_in_flight + r.most_in_flight) / 4;
-    dependencies_.push_back({r, endpoints(r.endpoints, r.health),
+    dependencies_.push_back({r, endpoints(r.endpoints, r.health, r.near),
                              adaptive_limit(r.least_in_flight, r.most_in_flight, start), {},
                              share_cap(r.retry_share, r.retry_floor), share_cap(r.hedge_share, 0), 0, {}, {}});
   }
@@ -153,6 +153,7 @@
   d.where.on_start(endpoint);
   ++d.in_flight;
   ++d.counts.calls;
+  if (!d.rules.near.where.empty()) ++d.counts.at_level[static_cast<std::size_t>(d.rules.near.where[endpoint])];
   timers_.emplace(p.give_up, due_timer{timer::call_over, number, 0, 0});
   if (p.calls.size() == 1 && d.rules.hedge_quantile > 0 && d.rules.endpoints > 1) {
     if (const auto slow = d.times.quantile(d.rules.hedge_quantile))
--- a/src/dependencies/conductor.hpp
+++ b/src/dependencies/conductor.hpp
@@ -7,6 +7,7 @@
 // each dependency's limit; whatever call is still out when its part has come or its gathering is over is cancelled.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -72,6 +73,7 @@
   std::uint64_t fresh = 0, stale = 0, stand_in = 0, missing = 0;  // parts
   std::chrono::nanoseconds stale_age{};                           // of the stale parts, together
   std::chrono::nanoseconds spent{};                               // in calls
+  std::array<std::uint64_t, failover::levels> at_level{};         // calls by nearness, where places are known
 };
 
 class conductor {
@@ -86,6 +88,11 @@
   void step(time_point now);
   time_point due() const { return timers_.empty() ? time_point::max() : timers_.begin()->first; }
 
+  // Whether calls may go to an endpoint, as the view of the fleet has it (its zone declared out, its member suspected).
+  void set_reachable(std::size_t dependency, std::size_t endpoint, bool reachable) {
+    dependencies_[dependency].where.set_reachable(endpoint, reachable);
+  }
+
   std::optional<action> pick();
 
   const plan& plan_at(std::size_t i) const { return plans_[i]; }
--- a/src/dependencies/endpoints.cpp
+++ b/src/dependencies/endpoints.cpp
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-endpoints::endpoints(std::size_t count, endpoint_rules rules) : rules_(rules), all_(count) {}
+endpoints::endpoints(std::size_t count, endpoint_rules rules, nearness near)
+    : rules_(rules), near_(std::move(near)), all_(count) {}
 
 std::size_t endpoints::out() const {
   return static_cast<std::size_t>(std::count_if(all_.begin(), all_.end(), [](const one& e) {
@@ -28,6 +29,33 @@
   return std::clamp(done, least_weight, 1.0);
 }
 
+// Those among which the call goes, all of one level: the level by the levels' able shares (failover/locality).
+std::vector<std::size_t> endpoints::near_ones(time_point now, std::uint64_t random,
+                                              std::optional<std::size_t> not_this) const {
+  std::vector<failover::endpoint_state> states(all_.size());
+  // What not even panic overrides: it asked for time, or holds as many calls as it may.
+  std::vector<bool> closed(all_.size());
+  for (std::size_t i = 0; i < all_.size(); ++i) {
+    const one& e = all_[i];
+    const bool in = e.where == endpoint_state::in || e.where == endpoint_state::ramping;
+    closed[i] = e.not_before > now || full(e);
+    states[i] = {near_.where[i], in && e.reachable && !closed[i]};
+  }
+  const failover::level_shares shares = failover::shares_of(states, near_.rules);
+  // Bits of their own: the two endpoints are drawn from the same number.
+  const std::uint64_t mixed = (random ^ (random >> 29)) * 0xbf58476d1ce4e5b9ull;
+  const auto drawn = failover::draw(shares, static_cast<double>(mixed >> 11) * 0x1.0p-53);
+  std::vector<std::size_t> at;
+  const auto take = [&](failover::level l) {
+    for (std::size_t i = 0; i < all_.size(); ++i)
+      if (i != not_this && states[i].where == l && (states[i].able || (shares.panic && !closed[i]))) at.push_back(i);
+  };
+  if (drawn) take(*drawn);
+  // The drawn level may hold none but `not_this`: then the nearest that has one.
+  for (std::size_t l = 0; l < failover::levels && at.empty(); ++l) take(static_cast<failover::level>(l));
+  return at;
+}
+
 std::optional<std::size_t> endpoints::choose(time_point now, std::uint64_t random, bool may_probe,
                                              std::optional<std::size_t> not_this) {
   std::vector<std::size_t> usable;
@@ -36,9 +64,11 @@
     if (e.where == endpoint_state::out && now >= e.until) move(i, endpoint_state::probing, "is tried again");
     if (e.where == endpoint_state::ramping && now >= e.since + rules_.ramp) e.where = endpoint_state::in;
     if (e.not_before > now || i == not_this) continue;
-    if (e.where == endpoint_state::probing && may_probe && !e.probe_out) return i;
+    // A probe of an endpoint that is known to be cut off would only cost the caller its time.
+    if (e.where == endpoint_state::probing && may_probe && !e.probe_out && e.reachable && !full(e)) return i;
     if (e.where == endpoint_state::in || e.where == endpoint_state::ramping) usable.push_back(i);
   }
+  if (!near_.where.empty()) usable = near_ones(now, random, not_this);
   if (usable.empty()) return std::nullopt;
   const std::size_t n = usable.size();
   const std::size_t a = usable[random % n];
@@ -118,6 +148,8 @@
   std::optional<time_point> next;
   for (const one& e : all_) {
     if (e.where == endpoint_state::probing && e.probe_out) continue;
+    // Not one that is kept from calls for another reason than time: when that ends, no time tells.
+    if (!e.reachable || full(e)) continue;
     const time_point at = std::max(e.not_before, e.where == endpoint_state::out ? e.until : time_point{});
     if (at <= now) return std::nullopt;
     if (!next || at < *next) next = at;
--- a/src/dependencies/endpoints.hpp
+++ b/src/dependencies/endpoints.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/request.hpp"
+#include "failover/locality.hpp"
 
 namespace marblewharf::dependencies {
 
@@ -27,9 +28,15 @@
 
 enum class endpoint_state { in, out, probing, ramping };
 
+// Where endpoints are, seen from this process, and how calls are kept near (docs/failover.md).
+struct nearness {
+  std::vector<failover::level> where;  // by endpoint; empty: places tell nothing, and the choice is as without
+  failover::locality_options rules;
+};
+
 class endpoints {
  public:
-  endpoints(std::size_t count, endpoint_rules rules);
+  endpoints(std::size_t count, endpoint_rules rules, nearness near = {});
 
   // Where the next call goes; none: all are held out, asked for time, or is `not_this`. `may_probe`: this call may be the
   // one that finds out whether an endpoint is back.
@@ -38,11 +45,14 @@
   void on_start(std::size_t which);
   // `told`: it answered, well or not; else the call was cancelled and tells nothing.
   void on_end(std::size_t which, time_point now, duration took, bool told, bool well);
+  // What others know of its place: its zone is declared out, its member suspected. No call goes there but in panic.
+  void set_reachable(std::size_t which, bool reachable) { all_[which].reachable = reachable; }
   // It said: not before then.
   void on_not_now(std::size_t which, time_point until);
 
   endpoint_state state_of(std::size_t which) const { return all_[which].where; }
   std::size_t out() const;
+  std::size_t count() const { return all_.size(); }
   unsigned in_flight(std::size_t which) const { return all_[which].in_flight; }
   // The earliest time at which one may be used that is not now; none where one may.
   std::optional<time_point> next_use(time_point now) const;
@@ -58,6 +68,7 @@
     unsigned times_out = 0;     // in a row
     unsigned probes_well = 0;
     bool probe_out = false;     // a probe is in flight
+    bool reachable = true;
     double mean_s = 0;          // latency of late
     time_point until{};         // out
     time_point since{};         // ramping
@@ -65,10 +76,13 @@
   };
 
   double weight(const one& e, time_point now) const;
+  bool full(const one& e) const { return near_.rules.most_each > 0 && e.in_flight >= near_.rules.most_each; }
+  std::vector<std::size_t> near_ones(time_point now, std::uint64_t random, std::optional<std::size_t> not_this) const;
   void hold_out(std::size_t which, time_point now, const char* why);
   void move(std::size_t which, endpoint_state to, const std::string& why);
 
   endpoint_rules rules_;
+  nearness near_;
   std::vector<one> all_;
   std::vector<std::pair<std::size_t, std::string>> changes_;
 };
--- a/src/dependencies/gatherer.cpp
+++ b/src/dependencies/gatherer.cpp
@@ -192,18 +192,40 @@
   log("dependency", "%s: %s", config_.dependencies->endpoints[a.dependency].name.c_str(), a.what.c_str());
 }
 
+void gatherer::routes_changed(const std::function<bool(const std::string&)>& routable) {
+  for (std::size_t d = 0; d < config_.dependencies->endpoints.size(); ++d) {
+    const std::vector<std::string>& places = config_.dependencies->endpoints[d].places;
+    for (std::size_t e = 0; e < places.size(); ++e) conductor_.set_reachable(d, e, routable(places[e]));
+  }
+}
+
+std::string gatherer::figures() const {
+  std::string out;
+  for (std::size_t i = 0; i < config_.dependencies->endpoints.size(); ++i) {
+    const dependency_config& d = config_.dependencies->endpoints[i];
+    if (d.places.empty()) continue;
+    const auto& at = conductor_.counts(i).at_level;
+    const char* const names[] = {"zone", "region", "rest"};
+    for (std::size_t l = 0; l < at.size(); ++l)
+      out += "dependency." + d.name + ".calls_" + names[l] + "=" + std::to_string(at[l]) + "\n";
+  }
+  return out;
+}
+
 void gatherer::print() const {
   for (std::size_t i = 0; i < config_.dependencies->endpoints.size(); ++i) {
     const dependency_counts& n = conductor_.counts(i);
     const auto count = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
     log("dependencies",
         "%s calls=%llu retries=%llu hedges=%llu good=%llu failed=%llu late=%llu not_now=%llu no_room=%llu "
-        "held_out=%llu allowed=%u in_flight=%u fresh=%llu stale=%llu stand_in=%llu missing=%llu stale_age_ms=%llu spent_ms=%llu",
+        "held_out=%llu allowed=%u in_flight=%u fresh=%llu stale=%llu stand_in=%llu missing=%llu stale_age_ms=%llu spent_ms=%llu "
+        "zone=%llu region=%llu rest=%llu",
         config_.dependencies->endpoints[i].name.c_str(), count(n.calls), count(n.retries), count(n.hedges),
         count(n.good), count(n.failed), count(n.late), count(n.not_now), count(n.no_room), count(n.held_out),
         conductor_.allowed(i), conductor_.in_flight(i), count(n.fresh), count(n.stale), count(n.stand_in),
         count(n.missing), count(static_cast<std::uint64_t>(n.stale_age / std::chrono::milliseconds(1))),
-        count(static_cast<std::uint64_t>(n.spent / std::chrono::milliseconds(1))));
+        count(static_cast<std::uint64_t>(n.spent / std::chrono::milliseconds(1))), count(n.at_level[0]),
+        count(n.at_level[1]), count(n.at_level[2]));
   }
 }
 
--- a/src/dependencies/gatherer.hpp
+++ b/src/dependencies/gatherer.hpp
@@ -5,7 +5,9 @@
 // goes without it; then only what stands in without a call is used.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -37,6 +39,10 @@
   const conductor& decisions() const { return conductor_; }
   // A line of counters for each dependency.
   void print() const;
+  // The view of the fleet has changed: `routable` tells of a place (a zone or a member) whether calls may go there.
+  void routes_changed(const std::function<bool(const std::string&)>& routable);
+  // For show-stat, of dependencies whose endpoints have places: calls by nearness.
+  std::string figures() const;
 
  private:
   struct run_state {
--- a/src/dependencies/plan.hpp
+++ b/src/dependencies/plan.hpp
@@ -25,6 +25,7 @@
   double least_in_flight = 1, most_in_flight = 64;
   std::size_t most_waiting = 256;             // for room in flight
   endpoint_rules health;
+  nearness near;                              // of its endpoints
 };
 
 // What stands in, the first that is to be had.
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdio>
 #include <cstring>
+#include <sstream>
 #include <utility>
 
 #include "dependencies/compose.hpp"
@@ -21,14 +22,15 @@
 constexpr std::uint32_t record_type = 16;
 constexpr std::size_t id_size = 32;
 
-// A mark on disk: id, expiry, mark, whether it committed; then class, key and payload, each with its length. What only
-// matters with some marks is empty in others.
+// A mark on disk: id, expiry, mark, whether it committed; then class, key, payload and endpoints, each with its length.
+// What only matters with some marks is empty in others. Marks of before endpoints were chosen end after the payload.
 struct mark_record {
   std::string id;
   std::int64_t expiry = 0;
   log_mark what{};
   bool committed = false;
   std::string request_class, key, payload;
+  std::string endpoints;  // of its participants, as host:port with a blank between; empty: the first of each
 };
 
 std::string encode(const mark_record& m) {
@@ -37,7 +39,7 @@
   put(m.expiry);
   put(static_cast<std::uint32_t>(m.what));
   put(static_cast<std::uint32_t>(m.committed));
-  for (const std::string* text : {&m.request_class, &m.key, &m.payload}) {
+  for (const std::string* text : {&m.request_class, &m.key, &m.payload, &m.endpoints}) {
     put(static_cast<std::uint32_t>(text->size()));
     out += *text;
   }
@@ -56,8 +58,9 @@
   m.what = static_cast<log_mark>(what);
   m.committed = committed != 0;
   in.remove_prefix(fixed);
-  for (std::string* text : {&m.request_class, &m.key, &m.payload}) {
+  for (std::string* text : {&m.request_class, &m.key, &m.payload, &m.endpoints}) {
     std::uint32_t size = 0;
+    if (in.empty() && text == &m.endpoints) break;
     if (in.size() < sizeof size) return std::nullopt;
     std::memcpy(&size, in.data(), sizeof size);
     in.remove_prefix(sizeof size);
@@ -96,15 +99,21 @@
   log_mark recovered{};
   std::vector<std::shared_ptr<uwsgi::exchange>> talks;  // by participant
   std::vector<part_result> results;                     // by participant, of its commit
+  std::vector<endpoint> at;                             // by participant: the one endpoint that all its steps go to
+  std::vector<std::size_t> route;                       // the same, by its number
+  std::vector<time_point> asked;                        // by participant: its step in flight
 
   write(std::vector<part_kind> kinds, const write_plan& p)
-      : plan(&p), machine(std::move(kinds)), talks(p.participants.size()), results(p.participants.size()) {}
+      : plan(&p), machine(std::move(kinds)), talks(p.participants.size()), results(p.participants.size()),
+        route(p.participants.size()), asked(p.participants.size()) {}
 };
 
 writer::writer(net::reactor& r, const config& settings, dispatcher& d, backend& behind, store::file_system& fs,
                std::uint64_t random, std::function<void()> notify)
-    : reactor_(r), config_(settings), dispatcher_(d), behind_(behind), random_(random) {
+    : reactor_(r), config_(settings), dispatcher_(d), behind_(behind), random_(random), draws_(random) {
   const writes_config& w = *config_.writes;
+  for (const dependency_rules& rules : config_.dependencies->rules)
+    routes_.emplace_back(rules.endpoints, rules.health, rules.near);
   store::log_options o;
   o.folder = w.folder;
   o.segment = w.segment;
@@ -166,9 +175,40 @@
   w->begun = net::steady_now();
   w->pause = config_.writes->retry;
   w->again_at = w->begun + w->pause;
+  for (const std::size_t p : plan->participants) w->at.push_back(config_.dependencies->endpoints[p].at.front());
   return w;
 }
 
+// Once for each write, before it begins: what a participant has promised its endpoint alone knows. Where places are not
+// known it is the first.
+void writer::choose_endpoints(write& w) {
+  for (std::size_t i = 0; i < w.at.size(); ++i) {
+    const std::size_t d = w.plan->participants[i];
+    if (config_.dependencies->endpoints[d].places.empty()) continue;
+    w.route[i] = routes_[d].choose(w.begun, draws_(), true).value_or(0);
+    w.at[i] = config_.dependencies->endpoints[d].at[w.route[i]];
+  }
+}
+
+// None where the endpoint is no longer configured.
+endpoints* writer::route_of(const write& w, std::size_t participant) {
+  endpoints& all = routes_[w.plan->participants[participant]];
+  return w.route[participant] < all.count() ? &all : nullptr;
+}
+
+// How an endpoint fares tells where the next writes go.
+void writer::step_ended(const write& w, std::size_t participant, bool told, bool well) {
+  const time_point at = net::steady_now();
+  if (endpoints* r = route_of(w, participant)) r->on_end(w.route[participant], at, at - w.asked[participant], told, well);
+}
+
+void writer::routes_changed(const std::function<bool(const std::string&)>& routable) {
+  for (std::size_t d = 0; d < routes_.size(); ++d) {
+    const std::vector<std::string>& places = config_.dependencies->endpoints[d].places;
+    for (std::size_t e = 0; e < places.size(); ++e) routes_[d].set_reachable(e, routable(places[e]));
+  }
+}
+
 void writer::recover(std::uint32_t type, std::string_view body) {
   const auto m = decode(type, body);
   if (!m) return;
@@ -182,6 +222,14 @@
     }
     w->expiry = m->expiry;
     w->recovered = log_mark::begun;
+    std::istringstream at(m->endpoints);
+    std::string address;
+    for (std::size_t p = 0; p < w->at.size() && at >> address; ++p) {
+      const std::size_t colon = address.rfind(':');
+      w->at[p] = {address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+      const auto& known = config_.dependencies->endpoints[w->plan->participants[p]].at;
+      w->route[p] = static_cast<std::size_t>(std::find(known.begin(), known.end(), w->at[p]) - known.begin());
+    }
     outcomes_[w->key] = {false, false, w->id, {}, m->expiry};
     open_[m->id] = std::move(w);
     return;
@@ -213,6 +261,7 @@
     return;
   }
   w->owner = id;
+  choose_endpoints(*w);
   const auto& c = config_.settings.classes[what.request_class];
   w->decide_by = what.arrived + (c.aim.count() > 0 ? c.aim : c.deadline) - w->plan->reserve;
   w->expiry = now() + w->plan->window.count();
@@ -279,11 +328,12 @@
 }
 
 void writer::mark(const std::shared_ptr<write>& w, log_mark m) {
-  mark_record r{w->id, w->expiry, m, w->committed, {}, {}, {}};
+  mark_record r{w->id, w->expiry, m, w->committed, {}, {}, {}, {}};
   if (m == log_mark::begun) {
     r.request_class = config_.settings.classes[w->request_class].name;
     r.key = w->key;
     r.payload = w->payload;
+    for (const endpoint& e : w->at) r.endpoints += (r.endpoints.empty() ? "" : " ") + e.host + ":" + std::to_string(e.port);
   }
   if (m == log_mark::over && w->committed) r.payload = compose_result(*w);
   const std::uint64_t ticket = ++last_ticket_;
@@ -308,8 +358,10 @@
     if (!d.path.empty()) vars.emplace_back("PATH_INFO", d.path);
     bytes = uwsgi::encode_packet(vars, p->body);
   }
-  // Always the same endpoint of a participant: what it has promised, it alone knows.
-  const endpoint& to = d.at.front();
+  const endpoint& to = w->at[s.participant];
+  if (w->talks[s.participant] != nullptr) step_ended(*w, s.participant, false, false);  // one that nobody waits for now
+  if (endpoints* r = route_of(*w, s.participant)) r->on_start(w->route[s.participant]);
+  w->asked[s.participant] = net::steady_now();
   try {
     w->talks[s.participant] = std::make_shared<uwsgi::exchange>(
         reactor_, config_.bounds, to, std::move(bytes),
@@ -317,6 +369,7 @@
           on_exchanged(id, s.participant, s.what, how, head, response);
         });
   } catch (const Poco::Exception&) {
+    step_ended(*w, s.participant, true, false);
     w->machine.on_step(s.participant, s.what, step_end::unknown);
   }
 }
@@ -338,6 +391,7 @@
     w->committed = true;
     w->results[participant] = {part_is::fresh, {}, std::string(response.substr(head->size))};
   }
+  step_ended(*w, participant, true, end != step_end::unknown);
   w->machine.on_step(participant, what, end);
   advance(w);
 }
@@ -352,6 +406,8 @@
   outcome o{true, w->committed, w->id, w->committed ? compose_result(*w) : std::string(), w->expiry};
   const auto known = outcomes_.find(w->key);
   if (known == outcomes_.end() || known->second.of == w->id) outcomes_[w->key] = o;
+  for (std::size_t i = 0; i < w->talks.size(); ++i)
+    if (w->talks[i] != nullptr) step_ended(*w, i, false, false);
   open_.erase(w->id);
   const request_id id = std::exchange(w->owner, 0);
   if (id == 0) return;
@@ -394,6 +450,7 @@
         w->talks[i]->close();
         reactor_.retire(std::move(w->talks[i]));
         w->talks[i] = nullptr;
+        step_ended(*w, i, true, false);
         w->machine.on_step(i, w->machine.where() == transaction::stage::aborting ? step_kind::abort : step_kind::commit,
                            step_end::unknown);
       }
--- a/src/dependencies/writer.hpp
+++ b/src/dependencies/writer.hpp
@@ -6,12 +6,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
+#include "dependencies/endpoints.hpp"
 #include "dependencies/transaction.hpp"
 #include "keyed/clock.hpp"
 #include "net/reactor.hpp"
@@ -37,6 +39,8 @@
   void skip_call(request_id id) override { behind_.skip_call(id); }
 
   time_point step(time_point now);
+  // The view of the fleet has changed: `routable` tells of a place (a zone or a member) whether calls may go there.
+  void routes_changed(const std::function<bool(const std::string&)>& routable);
   std::size_t open() const { return open_.size(); }
 
  private:
@@ -51,6 +55,9 @@
 
   std::string key_of(const request& what) const;
   std::shared_ptr<write> make(const write_id& id, std::size_t request_class, std::string payload, std::string key);
+  void choose_endpoints(write& w);
+  endpoints* route_of(const write& w, std::size_t participant);
+  void step_ended(const write& w, std::size_t participant, bool told, bool well);
   void recover(std::uint32_t type, std::string_view body);
   void advance(const std::shared_ptr<write>& w);
   void take(const std::shared_ptr<write>& w, const take_step& s);
@@ -67,6 +74,8 @@
   backend& behind_;
   keyed::ageing_clock clock_;
   std::uint64_t random_;
+  std::mt19937_64 draws_;
+  std::vector<endpoints> routes_;  // by dependency: which endpoint a new write takes, where places are known
   std::uint64_t last_number_ = 0;
   std::unordered_map<write_id, std::shared_ptr<write>> open_;
   std::unordered_map<request_id, write_id> runs_;
--- a/src/failover/locality.cpp
+++ b/src/failover/locality.cpp
@@ -18,24 +18,25 @@
     if (e.able) able[l] += 1;
   }
   level_shares out;
-  double all = 0, all_able = 0;
+  double all = 0, all_able = 0, covered = 0;
+  std::array<double, levels> health{};
   for (std::size_t l = 0; l < levels; ++l) {
     all += total[l];
     all_able += able[l];
+    if (total[l] > 0) health[l] = std::min(1.0, o.overprovisioning * able[l] / total[l]);
+    covered += health[l];
   }
   if (all == 0) return out;
   // Guards against a herd on the few left: with most endpoints unable, health checks are likelier wrong than
   // the endpoints all gone, so none is spared.
-  if (all_able < o.panic_threshold * all) {
+  if (covered < 1 && all_able < o.panic_threshold * all) {
     out.panic = true;
     for (std::size_t l = 0; l < levels; ++l) out.share[l] = total[l] / all;
     return out;
   }
   double left = 1, taken = 0;
   for (std::size_t l = 0; l < levels; ++l) {
-    if (total[l] == 0) continue;
-    const double health = std::min(1.0, o.overprovisioning * able[l] / total[l]);
-    out.share[l] = std::min(left, health);
+    out.share[l] = std::min(left, health[l]);
     left -= out.share[l];
     taken += out.share[l];
   }
--- a/src/failover/locality.hpp
+++ b/src/failover/locality.hpp
@@ -20,6 +20,7 @@
 struct locality_options {
   double overprovisioning = 1.4;  // a level keeps all its calls while at least 1/1.4 of it can take them
   double panic_threshold = 0.5;   // under this share able anywhere, calls go over all endpoints alike
+  unsigned most_each = 0;         // calls in flight at one endpoint before it counts as unable; 0: no bound
 };
 
 struct place {
@@ -40,8 +41,9 @@
 level level_of(const place& caller, const place& endpoint);
 
 // Level 0 takes min(1, overprovisioning * able share of level 0) of the calls, level 1 the same of what is left,
-// and so on; what no level covers is spread over the levels in proportion to what they took. In panic the
-// shares are the levels' counts of endpoints over all endpoints.
+// and so on; what no level covers is spread over the levels in proportion to what they took. Panic, as in Envoy, only
+// where the levels together do not cover all calls (a zone that is cut off with its own endpoints well is in none) and
+// fewer than panic_threshold of all endpoints are able: then the shares are the levels' counts over all endpoints.
 level_shares shares_of(std::span<const endpoint_state> endpoints, const locality_options& o = {});
 
 // The level for one call, from a number in [0, 1); none where the shares are all 0.
--- a/src/failover/zone_view.cpp
+++ b/src/failover/zone_view.cpp
@@ -1,11 +1,23 @@
 #include "failover/zone_view.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace marblewharf::failover {
 
-zone_view::zone_view(std::map<std::string, std::string> zone_of, std::string self, duration hold_down)
-    : zone_of_(std::move(zone_of)), self_(std::move(self)), hold_down_(hold_down) {
+namespace {
+
+// A standing vote is issued anew this often within its lease, so that some lost copies do not end it.
+constexpr int issues_in_lease = 4;
+// A voter whose clock went back over a restart counts rounds below its old ones: after this many leases of silence its
+// rounds are taken as they come.
+constexpr int leases_remembered = 4;
+
+}  // namespace
+
+zone_view::zone_view(std::map<std::string, std::string> zone_of, std::string self, view_options o,
+                     std::uint64_t first_round)
+    : zone_of_(std::move(zone_of)), self_(std::move(self)), options_(o), round_(first_round) {
   const auto found = zone_of_.find(self_);
   if (found == zone_of_.end()) throw std::invalid_argument("zone_view: " + self_ + " is no configured member");
   own_zone_ = found->second;
@@ -21,68 +33,103 @@
 }
 
 bool zone_view::region_out(const std::vector<std::string>& zones_of_region) const {
-  if (zones_of_region.empty()) return false;
-  for (const std::string& z : zones_of_region)
-    if (!of(z).out) return false;
-  return true;
+  return !zones_of_region.empty() && std::all_of(zones_of_region.begin(), zones_of_region.end(),
+                                                 [this](const std::string& z) { return of(z).out; });
+}
+
+// The epoch that a vote of that value goes to: the current one where it has that value, else the next; or a later one of
+// the same value that others stand by, so that a member an epoch behind does not keep the rest from a quorum. Every value
+// is fixed by its epoch's parity, so a vote for any epoch cannot clash with another of that epoch.
+std::uint64_t zone_view::wanted_epoch(time_point now, const std::string& zone, bool out) const {
+  std::uint64_t epoch = of(zone).epoch + (of(zone).out == out ? 0 : 1);
+  if (const auto all = ballots_.find(zone); all != ballots_.end()) {
+    for (const auto& [voter, b] : all->second)
+      if (stands(b, now) && b.what.out == out) epoch = std::max(epoch, b.what.epoch);
+  }
+  return epoch;
 }
 
-std::optional<vote> zone_view::observe(time_point now, const std::string& zone, bool reachable) {
+std::optional<vote> zone_view::observe(time_point now, const std::string& zone, sight seen) {
   if (zone == own_zone_ || !zones_.contains(zone)) return std::nullopt;
-  if (!reachable) {
-    reachable_since_.erase(zone);
-  } else if (!reachable_since_.contains(zone)) {
-    reachable_since_[zone] = now;
+  if (seen != sight::healthy) {
+    healthy_since_.erase(zone);
+  } else {
+    healthy_since_.try_emplace(zone, now);
   }
+  if (seen == sight::gone) last_gone_[zone] = now;
   const verdict current = of(zone);
-  // Out is voted at once; back only after hold_down without a break, so a flapping zone stays out.
-  const bool want_out = !reachable;
-  if (!want_out && now - reachable_since_[zone] < hold_down_) {
-    if (current.out || current.epoch == 0) return std::nullopt;
-    return vote{self_, zone, current.epoch, false};  // in, and it stays so: the standing vote
+  // Out is voted at once; in only after hold_down without a break, so a flapping zone stays out. Whoever is unsure
+  // stands by what was decided.
+  const bool wants_out = seen == sight::gone;
+  const bool wants_in = seen == sight::healthy && now - healthy_since_[zone] >= options_.hold_down;
+  const bool out = wants_out || (current.out && !wants_in);
+  const std::uint64_t epoch = wants_out || wants_in ? wanted_epoch(now, zone, out) : current.epoch;
+
+  ballot& mine = ballots_[zone][self_];
+  const bool changed = mine.what.epoch != epoch;
+  // Nothing was ever voted here, or it was taken back long enough ago for all leases to have ended.
+  if (epoch == 0 && !changed && !(mine.what.round > 0 && stands(mine, now))) return std::nullopt;
+  if (changed || now - mine.heard >= options_.vote_lease / issues_in_lease) {
+    if (epoch > 0 || changed) mine.heard = now;  // a vote taken back is sent for one lease, then forgotten
+    mine.what = vote{self_, zone, epoch, out, ++round_};
   }
-  // The epoch of this member's wish: the current one where it agrees (its vote stands, sent on for members that
-  // lost votes of it), else the next; or a later one of the same value that others already vote in, which it
-  // joins, so that a member an epoch behind does not keep the rest from a quorum. Every value is fixed by its
-  // epoch's parity, so a vote for any epoch cannot clash with another of that epoch.
-  std::uint64_t epoch = (current.epoch % 2 == 1) == want_out ? current.epoch : current.epoch + 1;
-  for (const auto& [later, voters] : ballots_[zone])
-    if (later > epoch && (later % 2 == 1) == want_out) epoch = later;
-  if (epoch == 0) return std::nullopt;
-  const vote mine{self_, zone, epoch, want_out};
-  if (epoch > current.epoch) hear(now, mine);
-  return mine;
+  const vote issued = mine.what;
+  tally(now, zone);
+  return issued;
 }
 
 bool zone_view::hear(time_point now, const vote& v) {
   const auto voter = zone_of_.find(v.voter);
   const bool parity_kept = v.out == (v.epoch % 2 == 1);
-  if (voter == zone_of_.end() || voter->second == v.zone || !zones_.contains(v.zone) || !parity_kept ||
-      v.epoch == 0) {
+  if (voter == zone_of_.end() || voter->second == v.zone || !zones_.contains(v.zone) || !parity_kept) {
     ++refused_;
     return false;
   }
-  if (v.epoch <= of(v.zone).epoch) return false;  // of an epoch decided already: nothing to learn
-  auto& cast = ballots_[v.zone][v.epoch];
-  if (!cast.emplace(v.voter, v.out).second) return false;  // heard before: gossip repeats itself
+  if (v.voter == self_) return false;  // an echo; what this member stands by it knows itself
+  const auto [at, fresh] = ballots_[v.zone].try_emplace(v.voter);
+  ballot& held = at->second;
+  // An older vote that arrives late must not stand for the later one, nor a copy prolong its lease.
+  if (!fresh && v.round <= held.what.round && now - held.heard < leases_remembered * options_.vote_lease) return false;
+  held = ballot{v, now, options_.pass_on};
   return tally(now, v.zone);
 }
 
+std::vector<vote> zone_view::take_news(std::size_t most) {
+  std::vector<ballot*> news;
+  for (auto& [zone, voters] : ballots_)
+    for (auto& [voter, b] : voters)
+      if (b.to_pass_on > 0) news.push_back(&b);
+  std::stable_sort(news.begin(), news.end(), [](const ballot* a, const ballot* b) { return a->to_pass_on > b->to_pass_on; });
+  std::vector<vote> out;
+  for (ballot* b : news) {
+    if (out.size() == most) break;
+    --b->to_pass_on;
+    out.push_back(b->what);
+  }
+  return out;
+}
+
+// Guards against the moment in which cuts heal: votes of both sides meet, each true of its own side until just now.
+bool zone_view::counts(const std::string& voters_zone, time_point now) const {
+  const auto gone = last_gone_.find(voters_zone);
+  return gone == last_gone_.end() || now - gone->second >= options_.vote_lease;
+}
+
 bool zone_view::tally(time_point now, const std::string& zone) {
   // Guards against a cut into two halves: with two zones each half would hold "the majority of the others".
   if (zones_.size() < 3) return false;
   const std::size_t others = zones_.size() - 1;
-  auto& by_epoch = ballots_[zone];
+  const std::uint64_t decided = of(zone).epoch;
+  std::map<std::uint64_t, std::map<std::string, std::size_t>> votes;  // standing ones, by epoch and the voters' zone
+  for (const auto& [voter, b] : ballots_[zone])
+    if (b.what.epoch > decided && stands(b, now) && counts(zone_of_.at(voter), now)) ++votes[b.what.epoch][zone_of_.at(voter)];
   // The highest epoch with a quorum: votes for e + 2 mean that their voters saw e + 1 decided.
-  for (auto e = by_epoch.rbegin(); e != by_epoch.rend(); ++e) {
-    std::map<std::string, std::size_t> votes_in;  // by the voters' zone
-    for (const auto& [voter, out] : e->second) ++votes_in[zone_of_.at(voter)];
-    std::size_t agreeing_zones = 0;
-    for (const auto& [z, n] : votes_in)
-      if (2 * n > members_in_.at(z)) ++agreeing_zones;
-    if (2 * agreeing_zones <= others) continue;
+  for (auto e = votes.rbegin(); e != votes.rend(); ++e) {
+    const auto agreeing = std::count_if(e->second.begin(), e->second.end(), [this](const auto& in) {
+      return 2 * in.second > members_in_.at(in.first);
+    });
+    if (2 * static_cast<std::size_t>(agreeing) <= others) continue;
     verdicts_[zone] = verdict{e->first, e->first % 2 == 1, now};
-    by_epoch.erase(by_epoch.begin(), by_epoch.upper_bound(e->first));
     return true;
   }
   return false;
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -3,9 +3,11 @@
 #include <Poco/Exception.h>
 #include <Poco/NObserver.h>
 
+#include <algorithm>
 #include <sstream>
 #include <stdexcept>
 
+#include "failover/routes.hpp"
 #include "membership/wire.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -24,11 +26,34 @@
   return "?";
 }
 
+failover::member_is is_of(membership::health h) {
+  switch (h) {
+    case membership::health::alive: return failover::member_is::alive;
+    case membership::health::suspect: return failover::member_is::suspect;
+    case membership::health::dead: return failover::member_is::dead;
+  }
+  return failover::member_is::unheard;
+}
+
+membership::ballot ballot_of(const failover::vote& v) { return {v.voter, v.zone, v.epoch, v.out, v.round}; }
+
+// A zone is no zone gone while this node itself had an answer from it within this many probe intervals, whatever
+// others say of its members.
+constexpr int contact_window = 5;
+
 membership::options options_of(const fleet_config& f) {
   membership::options o;
   o.probe_interval = f.probe_interval;
   o.probe_timeout = f.probe_timeout;
   o.indirect_probes = f.indirect_probes;
+  o.suspicion_min_rounds = f.suspicion_min_rounds;
+  o.suspicion_max_factor = f.suspicion_max_factor;
+  o.suspicion_confirmations = f.suspicion_confirmations;
+  o.retransmit_mult = f.retransmits;
+  o.gossip_per_message = f.gossip_per_message;
+  o.refresh_per_message = f.refresh_per_message;
+  o.health_max = f.health_most;
+  o.reconnect_every = f.reconnect_every;
   return o;
 }
 
@@ -39,12 +64,6 @@
   return out;
 }
 
-std::string region_in(const fleet_config& f, const std::string& zone) {
-  for (const fleet_zone& z : f.zones)
-    if (z.name == zone) return z.region;
-  return {};
-}
-
 std::vector<std::string> seeds_of(const fleet_config& f) {
   std::vector<std::string> out;
   for (const endpoint& s : f.seeds) out.push_back(text_of(s));
@@ -58,13 +77,14 @@
       settings_(f),
       random_(seed),
       swim_(options_of(f),
-            membership::claim{text_of(f.advertise), f.zone, region_in(f, f.zone),
+            membership::claim{text_of(f.advertise), f.zone, f.region_of(f.zone),
                               static_cast<std::uint64_t>(net::unix_ms()), membership::health::alive},
             seeds_of(f), net::steady_now()),
-      view_(zones_of(f), text_of(f.advertise), f.hold_down),
+      view_(zones_of(f), text_of(f.advertise), {.hold_down = f.hold_down, .vote_lease = f.vote_lease},
+            swim_.self().incarnation),
       zone_of_(zones_of(f)),
-      next_look_(net::steady_now() + 10 * f.probe_interval) {
-  for (const fleet_zone& z : f.zones) region_of_[z.name] = z.region;
+      started_(net::steady_now()),
+      next_look_(started_ + f.probe_interval) {
   try {
     socket_.bind(Poco::Net::SocketAddress(f.listen.host, f.listen.port), true, false);
     socket_.setBlocking(false);
@@ -106,7 +126,7 @@
     }
     ++figures_.received;
     swim_.receive(now, *d.m);
-    for (const membership::ballot& b : d.m->ballots) view_.hear(now, {b.voter, b.zone, b.epoch, b.out});
+    for (const membership::ballot& b : d.m->ballots) view_.hear(now, {b.voter, b.zone, b.epoch, b.out, b.round});
   }
   log_changes();
   flush();
@@ -117,28 +137,46 @@
   time_point due = swim_.step(now, random_);
   if (now >= next_look_) {
     next_look_ = now + settings_.probe_interval;
-    // A zone is reachable where any of its configured members is alive in this member's view. Before the first
-    // looks (ten probe intervals) nothing is judged: a member not heard of yet is no member gone.
-    std::map<std::string, bool> reachable;
-    for (const auto& [address, zone] : zone_of_) {
-      const auto found = swim_.members().find(address);
-      if (found != swim_.members().end() && found->second.state == membership::health::alive) reachable[zone] = true;
-      else reachable.try_emplace(zone, false);
-    }
-    std::vector<membership::ballot> mine;
-    for (const auto& [zone, up] : reachable)
-      if (const auto v = view_.observe(now, zone, up)) mine.push_back({v->voter, v->zone, v->epoch, v->out});
     // The ballots ride on whatever goes out next; each message gets them all (they are few: one a zone).
-    ballots_ = std::move(mine);
+    ballots_.clear();
+    for (const fleet_zone& z : settings_.zones)
+      if (const auto v = view_.observe(now, z.name, sight_of(z, now))) ballots_.push_back(ballot_of(*v));
   }
   log_changes();
   flush();
   return std::min(due, next_look_);
 }
 
+failover::sight link::sight_of(const fleet_zone& z, time_point now) const {
+  std::vector<failover::member_sight> members;
+  for (const endpoint& m : z.members) {
+    const std::string address = text_of(m);
+    const auto found = swim_.members().find(address);
+    const auto contact = swim_.contact(address);
+    const auto miss = swim_.miss(address);
+    failover::member_sight seen;
+    if (contact) seen.since_contact = now - *contact;
+    if (miss) seen.since_miss = now - *miss;
+    if (found != swim_.members().end()) seen.is = is_of(found->second.state);
+    members.push_back(seen);
+  }
+  return failover::sight_of(members, {.since_start = now - started_, .start_grace = settings_.start_grace,
+                                      .contact_window = contact_window * settings_.probe_interval});
+}
+
+bool link::routable(const std::string& place) const {
+  const auto zone = zone_of_.find(place);
+  if (zone == zone_of_.end()) return failover::zone_routable(view_.of(place), place == settings_.zone);
+  if (place == swim_.self().address) return true;
+  const auto found = swim_.members().find(place);
+  return found != swim_.members().end() && found->second.state == membership::health::alive &&
+         failover::zone_routable(view_.of(zone->second), zone->second == settings_.zone);
+}
+
 void link::flush() {
   for (membership::envelope& e : swim_.take_outbox()) {
     e.m.ballots = ballots_;
+    for (const failover::vote& v : view_.take_news(settings_.votes_per_message)) e.m.ballots.push_back(ballot_of(v));
     const std::string bytes = membership::encode(settings_.name, e.m);
     const std::size_t colon = e.to.rfind(':');
     try {
@@ -155,13 +193,16 @@
 }
 
 void link::log_changes() {
-  for (const membership::claim& c : swim_.take_changes())
+  const std::vector<membership::claim> heard = swim_.take_changes();
+  changes_ += heard.size();
+  for (const membership::claim& c : heard)
     telemetry::log("fleet", "member %s of zone %s is %s, incarnation %llu", c.address.c_str(), c.zone.c_str(),
                    name_of(c.state), static_cast<unsigned long long>(c.incarnation));
   for (const std::string& zone : view_.zones()) {
     const failover::verdict v = view_.of(zone);
     if (logged_[zone].epoch == v.epoch) continue;
     logged_[zone] = v;
+    ++changes_;
     ++(v.out ? figures_.declared_out : figures_.declared_back);
     // A word of its own: the lines on a lost zone's members use up theirs just when a verdict falls.
     telemetry::log("failover", "zone %s declared %s in common, epoch %llu", zone.c_str(), v.out ? "out" : "back",
@@ -180,6 +221,7 @@
 
 std::string link::show_zones() const {
   std::ostringstream out;
+  std::map<std::string, std::vector<std::string>> by_region;
   for (const fleet_zone& z : settings_.zones) {
     std::size_t alive = 0;
     for (const endpoint& m : z.members) {
@@ -191,6 +233,12 @@
     const failover::verdict v = view_.of(z.name);
     out << z.name << ' ' << z.region << ' ' << (v.out ? "out" : "in") << ' ' << v.epoch << ' ' << alive << '/'
         << z.members.size() << '\n';
+    by_region[z.region].push_back(z.name);
+  }
+  for (const auto& [region, zones] : by_region) {
+    const auto in = std::count_if(zones.begin(), zones.end(), [this](const std::string& z) { return !view_.of(z).out; });
+    out << "region " << region << ' ' << (view_.region_out(zones) ? "out" : "in") << ' ' << in << '/' << zones.size()
+        << '\n';
   }
   return out.str();
 }
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -42,17 +42,22 @@
 
   // One line a member, "ADDRESS ZONE REGION STATE INCARNATION", this node first.
   std::string show_members() const;
-  // One line a zone, "ZONE REGION in|out EPOCH ALIVE/CONFIGURED".
+  // One line a zone, "ZONE REGION in|out EPOCH ALIVE/CONFIGURED", then one a region, "region REGION in|out IN/ZONES":
+  // a region is out when all its zones are.
   std::string show_zones() const;
   // Lines of `fleet.NAME=VALUE` for show-stat.
   std::string show_figures() const;
-  // Whether the zone of an endpoint is declared out in common.
-  bool zone_out(const std::string& zone) const { return view_.of(zone).out; }
+  // Whether calls may go to a place, a zone's name or a member's address: not to a zone declared out in common unless
+  // it is this node's own, nor to a member that is suspected, dead or not heard of.
+  bool routable(const std::string& place) const;
+  // Rises with each change that routable() may tell differently after.
+  std::uint64_t changes() const { return changes_; }
 
  private:
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
   void flush();
   void log_changes();
+  failover::sight sight_of(const fleet_zone& z, time_point now) const;
 
   net::reactor& reactor_;
   const fleet_config& settings_;
@@ -61,11 +66,12 @@
   membership::swim swim_;
   failover::zone_view view_;
   std::map<std::string, std::string> zone_of_;  // configured member address -> zone
-  std::map<std::string, std::string> region_of_;  // zone -> region
   std::map<std::string, failover::verdict> logged_;  // the verdicts last logged, to log each move once
   std::vector<membership::ballot> ballots_;           // this member's standing votes, on every datagram
   figures figures_;
-  time_point next_look_{};
+  std::uint64_t changes_ = 0;
+  time_point started_;
+  time_point next_look_;
 };
 
 }  // namespace marblewharf::fleet
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -44,9 +44,21 @@
       std::max(1u, options_.retransmit_mult * static_cast<unsigned>(std::ceil(std::log10(n + 1))));
 }
 
+namespace {
+
+std::optional<time_point> time_of(const std::map<std::string, time_point>& times, const std::string& address) {
+  const auto found = times.find(address);
+  return found == times.end() ? std::nullopt : std::optional(found->second);
+}
+
+}  // namespace
+
+std::optional<time_point> swim::contact(const std::string& address) const { return time_of(contacts_, address); }
+std::optional<time_point> swim::miss(const std::string& address) const { return time_of(misses_, address); }
+
 void swim::refute(std::uint64_t above) {
   self_.incarnation = above + 1;
-  raise_health();  // Lifeguard: being suspected hints that this member is the slow one
+  raise_health(1);  // Lifeguard: being suspected hints that this member is the slow one
   spread(self_);
 }
 
@@ -57,6 +69,8 @@
     return false;
   }
   const auto found = members_.find(c.address);
+  if (found == members_.end() && members_.size() >= options_.members_most) return false;
+  const std::string& by = c.by.empty() ? from : c.by;
   if (found == members_.end() || overrides(c, found->second)) {
     claim& held = members_[c.address];
     const claim before = held;
@@ -64,7 +78,8 @@
     if (held.zone.empty()) held.zone = before.zone;  // gossip of state alone keeps what is known of place
     if (held.region.empty()) held.region = before.region;
     if (c.state == health::suspect) {
-      suspected_[c.address] = suspicion{now, {from}};
+      held.by = by;
+      suspected_[c.address] = suspicion{now, {by}};
     } else {
       suspected_.erase(c.address);
     }
@@ -75,9 +90,14 @@
   if (c.state == health::suspect && found->second.state == health::suspect &&
       c.incarnation == found->second.incarnation) {
     auto& s = suspected_[c.address];
-    // Only independent confirmations shorten the timeout: the same suspicion heard twice is one.
-    if (std::find(s.confirmed_by.begin(), s.confirmed_by.end(), from) == s.confirmed_by.end())
-      s.confirmed_by.push_back(from);
+    // Only independent confirmations shorten the timeout: one suspicion passed on by many is one. A new one is
+    // passed on itself, until enough are known.
+    if (s.confirmed_by.size() <= options_.suspicion_confirmations &&
+        std::find(s.confirmed_by.begin(), s.confirmed_by.end(), by) == s.confirmed_by.end()) {
+      s.confirmed_by.push_back(by);
+      found->second.by = by;
+      spread(found->second);
+    }
   }
   return false;
 }
@@ -97,6 +117,15 @@
     }
     if (--sends_left_[address] == 0) sends_left_.erase(address);
   }
+  // Guards against two members that never meet: each change is sent a bounded number of times, and whoever misses all of
+  // them (it joined just then, or they were lost) would not learn of it ever. So the table goes round as well.
+  auto next = members_.upper_bound(refreshed_);
+  for (unsigned i = 0; i < options_.refresh_per_message && i < members_.size(); ++i) {
+    if (next == members_.end()) next = members_.begin();
+    if (next->first != to) m.gossip.push_back(next->second);
+    refreshed_ = next->first;
+    ++next;
+  }
   outbox_.push_back(envelope{to, std::move(m)});
 }
 
@@ -114,8 +143,11 @@
       send(m.sender.address, kind::ack, m.sequence, m.target);
       break;
     case kind::ping_req: {
+      if (relays_.size() >= options_.relays_most) break;
       const std::uint64_t own = ++sequence_;
-      relays_.push_back(relay{m.sender.address, m.target, m.sequence, own, now + scaled(options_.probe_timeout)});
+      // The nack a little before the asker's own patience ends, as Lifeguard has it.
+      const duration patience = scaled(options_.probe_timeout);
+      relays_.push_back(relay{m.sender.address, m.target, m.sequence, own, now + patience * 4 / 5, now + 2 * patience});
       send(m.target, kind::ping, own);
       break;
     }
@@ -124,6 +156,7 @@
           (m.sender.address == probe_.target || m.target == probe_.target)) {
         if (!probe_.acked) lower_health();
         probe_.acked = true;
+        contacts_[probe_.target] = now;
         break;
       }
       // The answer to a probe carried out for another: passed on to the one that asked.
@@ -164,12 +197,11 @@
 time_point swim::step(time_point now, std::mt19937_64& random) {
   // A probe carried out for another that brought no ack: a nack tells the asker that the helper did try.
   for (auto r = relays_.begin(); r != relays_.end();) {
-    if (now >= r->until) {
+    if (!r->nacked && now >= r->nack_at) {
+      r->nacked = true;
       send(r->asker, kind::nack, r->asker_sequence, r->target);
-      r = relays_.erase(r);
-    } else {
-      ++r;
     }
+    r = now >= r->until ? relays_.erase(r) : r + 1;
   }
   for (auto s = suspected_.begin(); s != suspected_.end();) {
     const auto confirmations = static_cast<unsigned>(s->second.confirmed_by.size() - 1);
@@ -196,12 +228,15 @@
   }
   if (now >= next_probe_) {
     if (waiting) {
-      raise_health();
-      if (probe_.nacks < probe_.helpers) raise_health();  // Lifeguard: a missing nack hints at our own trouble
+      // Lifeguard: each helper that said nothing at all hints at our own trouble; where all of them tried in vain
+      // the trouble is the target's. Without helpers nothing tells the two apart.
+      raise_health(probe_.helpers == 0 ? 1 : probe_.helpers - std::min(probe_.helpers, probe_.nacks));
+      misses_[probe_.target] = now;
       if (const auto found = members_.find(probe_.target);
-          found != members_.end() && found->second.state == health::alive) {
+          found != members_.end() && found->second.state != health::dead) {
         claim c = found->second;
         c.state = health::suspect;
+        c.by = self_.address;  // our own probe: an independent confirmation where others suspect it already
         apply(now, c, self_.address);
       }
     }
@@ -216,7 +251,8 @@
   if (options_.reconnect_every > 0 && now >= next_reconnect_) {
     // Guards against a partition that never heals: once both sides hold each other dead nobody probes across,
     // so one member held dead is pinged now and then, told that it is held dead, and refutes if it lives.
-    next_reconnect_ = now + options_.reconnect_every * scaled(options_.probe_interval);
+    // Not stretched by this member's own trouble: whoever was alone has the most of that, and blames nobody here.
+    next_reconnect_ = now + options_.reconnect_every * options_.probe_interval;
     std::vector<std::string> dead;
     for (const auto& [address, c] : members_)
       if (c.state == health::dead) dead.push_back(address);
@@ -229,7 +265,7 @@
   time_point due = std::min(next_probe_, options_.reconnect_every > 0 ? next_reconnect_ : time_point::max());
   if (!probe_.target.empty() && !probe_.acked && !probe_.indirect_sent)
     due = std::min(due, probe_.sent + scaled(options_.probe_timeout));
-  for (const relay& r : relays_) due = std::min(due, r.until);
+  for (const relay& r : relays_) due = std::min(due, r.nacked ? r.until : r.nack_at);
   for (const auto& [address, s] : suspected_)
     due = std::min(due, s.since + suspicion_timeout(static_cast<unsigned>(s.confirmed_by.size() - 1)));
   return due;
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -9,12 +9,14 @@
 // higher incarnation wins, and at one incarnation dead > suspect > alive.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <utility>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace marblewharf::membership {
@@ -31,6 +33,7 @@
   std::string region;
   std::uint64_t incarnation = 0;
   health state = health::alive;
+  std::string by{};  // suspect: the member whose own probe failed, however the claim travelled
   bool operator==(const claim&) const = default;
 };
 
@@ -42,6 +45,7 @@
   std::string zone;
   std::uint64_t epoch = 0;
   bool out = false;
+  std::uint64_t round = 0;
   bool operator==(const ballot&) const = default;
 };
 
@@ -68,8 +72,11 @@
   unsigned suspicion_confirmations = 3;  // K: independent suspicions that bring the timeout to its least
   unsigned retransmit_mult = 4;        // each change is sent this many times ceil(log10(n + 1))
   unsigned gossip_per_message = 8;
+  unsigned refresh_per_message = 2;    // claims of the whole table in turn, beside the changes: what gossip missed
   unsigned health_max = 8;             // Lifeguard's local health: 0 is well; stretches own timeouts
   unsigned reconnect_every = 5;        // probe intervals between pings to one member held dead (0: never)
+  std::size_t members_most = 4096;     // claims on further members are dropped: garbage cannot grow the table
+  std::size_t relays_most = 256;       // probes carried out for others at once; further ones are dropped
 };
 
 class swim {
@@ -89,6 +96,10 @@
   const claim& self() const { return self_; }
   // All members but this one, as believed now; the dead stay listed.
   const std::map<std::string, claim>& members() const { return members_; }
+  // When this member last had the answer to a probe of its own (or through a helper) from that one; none: never.
+  std::optional<time_point> contact(const std::string& address) const;
+  // When a probe of its own, and through all helpers, last brought no answer from that one; none: never.
+  std::optional<time_point> miss(const std::string& address) const;
   unsigned local_health() const { return health_score_; }
   // The suspicion timeout of a member suspected by `confirmations` others beside the first.
   duration suspicion_timeout(unsigned confirmations) const;
@@ -96,7 +107,7 @@
  private:
   struct suspicion {
     time_point since;
-    std::vector<std::string> confirmed_by;
+    std::vector<std::string> confirmed_by;  // members whose own probes failed; never who merely passed it on
   };
   struct probe {
     std::string target;
@@ -112,7 +123,9 @@
     std::string target;
     std::uint64_t asker_sequence = 0;
     std::uint64_t own_sequence = 0;
+    time_point nack_at{};  // said that it tried; an ack that comes later is passed on all the same
     time_point until{};
+    bool nacked = false;
   };
 
   // Applies a claim heard from `from`; returns whether the belief changed.
@@ -121,7 +134,7 @@
   void spread(const claim& c);
   void send(const std::string& to, kind what, std::uint64_t sequence, const std::string& target = {});
   duration scaled(duration d) const { return d * (1 + health_score_); }
-  void raise_health() { if (health_score_ < options_.health_max) ++health_score_; }
+  void raise_health(unsigned by) { health_score_ = std::min(options_.health_max, health_score_ + by); }
   void lower_health() { if (health_score_ > 0) --health_score_; }
   std::size_t alive_count() const;
   std::string next_target(std::mt19937_64& random);
@@ -131,7 +144,9 @@
   std::vector<std::string> seeds_;
   std::map<std::string, claim> members_;
   std::map<std::string, suspicion> suspected_;
+  std::map<std::string, time_point> contacts_, misses_;
   std::map<std::string, unsigned> sends_left_;  // gossip: changes still to send, by address
+  std::string refreshed_;                       // the last member whose claim went out in its turn
   std::vector<std::string> round_;              // the probe order of this round
   probe probe_;
   std::vector<relay> relays_;
--- a/src/membership/wire.cpp
+++ b/src/membership/wire.cpp
@@ -13,14 +13,16 @@
   std::string address, zone, region;
   std::uint64_t incarnation = 0;
   std::uint8_t state = 0;
-  MSGPACK_DEFINE(address, zone, region, incarnation, state)
+  std::string by;
+  MSGPACK_DEFINE(address, zone, region, incarnation, state, by)
 };
 
 struct wire_ballot {
   std::string voter, zone;
   std::uint64_t epoch = 0;
   bool out = false;
-  MSGPACK_DEFINE(voter, zone, epoch, out)
+  std::uint64_t round = 0;
+  MSGPACK_DEFINE(voter, zone, epoch, out, round)
 };
 
 struct wire_message {
@@ -36,12 +38,12 @@
 };
 
 wire_claim to_wire(const claim& c) {
-  return {c.address, c.zone, c.region, c.incarnation, static_cast<std::uint8_t>(c.state)};
+  return {c.address, c.zone, c.region, c.incarnation, static_cast<std::uint8_t>(c.state), c.by};
 }
 
 std::optional<claim> from_wire(const wire_claim& w) {
   if (w.state > static_cast<std::uint8_t>(health::dead)) return std::nullopt;
-  return claim{w.address, w.zone, w.region, w.incarnation, static_cast<health>(w.state)};
+  return claim{w.address, w.zone, w.region, w.incarnation, static_cast<health>(w.state), w.by};
 }
 
 std::string pack(const wire_message& w) {
@@ -60,10 +62,11 @@
   wire_message w{fleet, wire_version, static_cast<std::uint8_t>(m.what), to_wire(m.sender), m.sequence, m.target,
                  {}, {}};
   for (const claim& c : m.gossip) w.gossip.push_back(to_wire(c));
-  for (const ballot& b : m.ballots) w.ballots.push_back({b.voter, b.zone, b.epoch, b.out});
+  for (const ballot& b : m.ballots) w.ballots.push_back({b.voter, b.zone, b.epoch, b.out, b.round});
   std::string bytes = pack(w);
   while (bytes.size() > datagram_most && (!w.gossip.empty() || !w.ballots.empty())) {
-    if (!w.ballots.empty()) {  // ballots are sent anew at every look; the gossip of a change is not
+    // The last of each are those that come again anyway: ballots passed on, claims of the table in turn.
+    if (w.ballots.size() >= w.gossip.size()) {
       w.ballots.pop_back();
     } else {
       w.gossip.pop_back();
@@ -90,7 +93,7 @@
     const std::optional<claim> sender = from_wire(w.sender);
     if (!sender) return {std::nullopt, wire_fault::undecodable};
     message m{static_cast<kind>(w.what), *sender, w.sequence, w.target, {}, {}};
-    for (const wire_ballot& b : w.ballots) m.ballots.push_back({b.voter, b.zone, b.epoch, b.out});
+    for (const wire_ballot& b : w.ballots) m.ballots.push_back({b.voter, b.zone, b.epoch, b.out, b.round});
     for (const wire_claim& g : w.gossip) {
       const std::optional<claim> c = from_wire(g);
       if (!c) return {std::nullopt, wire_fault::undecodable};
--- a/src/membership/wire.hpp
+++ b/src/membership/wire.hpp
@@ -13,7 +13,7 @@
 
 namespace marblewharf::membership {
 
-inline constexpr std::uint32_t wire_version = 1;
+inline constexpr std::uint32_t wire_version = 2;  // 1 had neither who suspects nor the rounds of ballots
 // The most one datagram carries: under the usual path MTU, so no datagram is fragmented.
 inline constexpr std::size_t datagram_most = 1400;
 
@@ -24,7 +24,7 @@
   wire_fault fault = wire_fault::none;
 };
 
-// Ballots, then gossip, are cut from the end until the datagram fits in datagram_most; the rest always fits
+// Of ballots and gossip the longer is cut from its end until the datagram fits in datagram_most; the rest always fits
 // where addresses, zones and regions are under 256 bytes each.
 std::string encode(const std::string& fleet, const message& m);
 decoded decode(const std::string& fleet, std::string_view datagram);
--- a/src/middleware/gathering.cpp
+++ b/src/middleware/gathering.cpp
@@ -38,6 +38,11 @@
     r.hedge_share = s.hedge_share;
     if (s.hedge_share <= 0) r.hedge_quantile = 0;
     r.most_in_flight = s.threads;
+    if (!s.where.empty() && s.where.size() != s.endpoints.size())
+      throw std::invalid_argument("where does not name as many as endpoints: " + s.name);
+    static_assert(static_cast<int>(nearness::elsewhere) == static_cast<int>(failover::level::rest));
+    for (const nearness n : s.where) r.near.where.push_back(static_cast<failover::level>(n));
+    r.near.rules = {s.near.overprovisioning, s.near.panic_threshold, s.near.most_each};
     rules.push_back(std::move(r));
   }
   return rules;
@@ -110,6 +115,13 @@
     return std::move(w.result);
   }
 
+  void set_reachable(const std::string& name, std::size_t endpoint, bool reachable) {
+    const std::lock_guard lock(guard_);
+    const std::size_t at = find_source(sources_, name);
+    if (endpoint >= sources_[at].where.size()) throw std::invalid_argument("no place of an endpoint: " + name);
+    conductor_.set_reachable(at, endpoint, reachable);
+  }
+
  private:
   struct waiter {
     bool done = false;
@@ -222,6 +234,10 @@
     : impl_(std::make_unique<impl>(std::move(sources), parts, aim, cache_bytes, seed)) {}
 gathering::~gathering() = default;
 
+void gathering::set_reachable(const std::string& name, std::size_t endpoint, bool reachable) {
+  impl_->set_reachable(name, endpoint, reachable);
+}
+
 gathered gathering::gather(std::uint64_t subject, std::chrono::nanoseconds within) {
   return impl_->gather(subject, within);
 }
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -149,14 +149,16 @@
  public:
   operators_desk(const config& settings, const dispatcher& table, const telemetry::counters& counters,
                  const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain,
-                 const fleet::link* in_fleet)
-      : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain), fleet_(in_fleet) {
+                 const fleet::link* in_fleet, const std::optional<dependencies::gatherer>& gathers)
+      : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain), fleet_(in_fleet),
+        gathers_(gathers) {
     for (const auto& c : settings.settings.classes) classes_.push_back(c.name);
   }
 
   bool ready() override { return runtime_.up() && !front_.leaving(); }
   std::string figures() override {
-    return ops::render_figures(counters_, classes_, desk_.unanswered()) + (fleet_ ? fleet_->show_figures() : "");
+    return ops::render_figures(counters_, classes_, desk_.unanswered()) + (fleet_ ? fleet_->show_figures() : "") +
+           (gathers_ ? gathers_->figures() : "");
   }
   std::optional<std::string> members() override {
     return fleet_ ? std::optional<std::string>(fleet_->show_members()) : std::nullopt;
@@ -180,6 +182,7 @@
   const thrift::server& front_;
   ops::drain_state& drain_;
   const fleet::link* fleet_;  // none: in no fleet
+  const std::optional<dependencies::gatherer>& gathers_;
   std::vector<std::string> classes_;
 };
 
@@ -226,16 +229,16 @@
   // Membership and failover: only where the operator's file names a fleet, never in `run` on the platform.
   std::optional<fleet::link> fleet;
   if (settings.fleet) fleet.emplace(reactor, *settings.fleet, random_number());
-  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr);
+  std::optional<uwsgi::client> servers;
+  std::optional<dependencies::gatherer> gatherer;
+  std::optional<dependencies::writer> writer;
+  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr, gatherer);
   std::optional<console::server> console;
   if (settings.console) {
     console.emplace(reactor, bounds, *settings.console, operators, counters);
     telemetry::log("start", "console on %s:%u", settings.console->host.c_str(),
                    static_cast<unsigned>(settings.console->port));
   }
-  std::optional<uwsgi::client> servers;
-  std::optional<dependencies::gatherer> gatherer;
-  std::optional<dependencies::writer> writer;
   std::optional<uwsgi::server> second_front;
   if (settings.uwsgi) {
     servers.emplace(reactor, settings, desk);
@@ -249,6 +252,7 @@
   }
   time_point leave_at = time_point::max();
   handover_file handover(settings);
+  std::uint64_t routed_by = ~std::uint64_t{0};  // the fleet's changes that the routes of calls follow already
   bool handed_over = false;  // a successor takes the clients: leave at once
   telemetry::log("start", "%s listens on %s:%u", settings.name.c_str(), settings.listen.host.c_str(),
                  static_cast<unsigned>(settings.listen.port));
@@ -298,6 +302,13 @@
       }
     }
     if (keeper) keeper->step(now);
+    const time_point fleet_due = fleet ? fleet->step(now) : time_point::max();
+    if (fleet && fleet->changes() != routed_by) {
+      routed_by = fleet->changes();
+      const auto routable = [&fleet](const std::string& place) { return fleet->routable(place); };
+      if (gatherer) gatherer->routes_changed(routable);
+      if (writer) writer->routes_changed(routable);
+    }
     desk.step(now, gauges);
     if (desk.draining()) {
       // With a successor beside it, every connection this one keeps or takes is one the successor does not.
@@ -315,7 +326,7 @@
                   gatherer ? gatherer->step(now) : time_point::max(),
                   writer ? writer->step(now) : time_point::max(),
                   console ? console->step(now) : time_point::max(),
-                  fleet ? fleet->step(now) : time_point::max(), next_lock_try});
+                  fleet_due, next_lock_try});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/tests/dependencies/decisions_test.cpp
+++ b/tests/dependencies/decisions_test.cpp
@@ -382,6 +382,84 @@
   CHECK(!fault(longer).empty());
 }
 
+// Nine endpoints, three a level, as failover/locality_test has the shares: here they are what calls really do.
+nearness three_levels(unsigned most_each = 0) {
+  using failover::level;
+  return {{level::zone, level::zone, level::zone, level::region, level::region, level::region, level::rest, level::rest,
+           level::rest}, {.most_each = most_each}};
+}
+std::array<int, 3> levels_of(endpoints& all, time_point now, int n) {
+  std::array<int, 3> at{};
+  std::mt19937_64 random(7);
+  for (int i = 0; i < n; ++i) {
+    const auto e = all.choose(now, random(), false);
+    if (!e) continue;
+    all.on_start(*e);
+    all.on_end(*e, now, 1ms, true, true);
+    ++at[*e / 3];
+  }
+  return at;
+}
+
+void calls_stay_near() {
+  endpoints all(9, {}, three_levels());
+  CHECK(levels_of(all, 1s, 1000)[0] == 1000);
+  // Two of the zone's three held out for failures: 1.4 / 3 stays, the rest goes to the region.
+  for (const std::size_t e : {0u, 1u})
+    for (int i = 0; i < 5; ++i) {
+      all.on_start(e);
+      all.on_end(e, 1s, 1ms, true, false);
+    }
+  const auto spilled = levels_of(all, 1100ms, 1000);
+  CHECK(spilled[0] > 400 && spilled[0] < 530 && spilled[1] == 1000 - spilled[0]);
+  // The region's zone is declared out: what spills goes on.
+  for (const std::size_t e : {3u, 4u, 5u}) all.set_reachable(e, false);
+  const auto beyond = levels_of(all, 1200ms, 1000);
+  CHECK(beyond[0] > 400 && beyond[0] < 530 && beyond[1] == 0 && beyond[2] == 1000 - beyond[0]);
+  // Nothing far is reachable and the own zone is poor: panic, over all alike, also what is not reachable.
+  for (const std::size_t e : {6u, 7u, 8u}) all.set_reachable(e, false);
+  const auto panic = levels_of(all, 1300ms, 900);
+  CHECK(panic[0] > 200 && panic[1] > 200 && panic[2] > 200);
+  // A bound on each: one call at each of the zone's, then the region takes the next, and panic breaks no bound.
+  endpoints bounded(9, {}, three_levels(1));
+  std::mt19937_64 random(8);
+  std::array<int, 3> at{};
+  for (int i = 0; i < 9; ++i) {
+    const auto e = bounded.choose(1s, random(), false);
+    CHECK(e);
+    bounded.on_start(*e);
+    ++at[*e / 3];
+  }
+  CHECK((at == std::array<int, 3>{3, 3, 3}));
+  CHECK(!bounded.choose(1s, random(), false) && !bounded.next_use(1s));
+}
+
+// Whatever happens to endpoints: no call to one that is out of reach while the levels can take all calls, never the one
+// that just failed, never over a bound.
+void nearness_holds() {
+  holds("calls go only where the shares allow", [] {
+    const auto most_each = static_cast<unsigned>(*rc::gen::inRange(0, 4));
+    endpoints all(9, {}, three_levels(most_each));
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    std::vector<bool> reachable(9, true);
+    time_point now = 1s;
+    for (int i = 0; i < 300; ++i) {
+      now += 10ms;
+      const std::size_t e = random() % 9;
+      if (random() % 4 == 0) all.set_reachable(e, reachable[e] = random() % 2 == 0);
+      if (all.in_flight(e) > 0) all.on_end(e, now, 1ms, true, random() % 3 != 0);
+      const std::size_t avoided = random() % 9;
+      const auto chosen = all.choose(now, random(), random() % 2 == 0, avoided);
+      if (!chosen) continue;
+      RC_ASSERT(*chosen != avoided || all.state_of(*chosen) == endpoint_state::probing);
+      if (most_each > 0) RC_ASSERT(all.in_flight(*chosen) < most_each);
+      if (std::count(reachable.begin(), reachable.end(), true) == 9 - 1 && all.out() == 0 && most_each == 0)
+        RC_ASSERT(reachable[*chosen]);
+      all.on_start(*chosen);
+    }
+  });
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -393,6 +471,8 @@
                                                    {"gatherings", every_gathering_ends},
                                                    {"eightfold", one_slows_eightfold},
                                                    {"stand_ins", what_stands_in},
+                                                   {"near", calls_stay_near},
+                                                   {"near_properties", nearness_holds},
                                                    {"plans", plans_that_could_not_be_kept}};
   tests.at(argv[1])();
   return 0;
--- /dev/null
+++ b/tests/fleet/fleet.hpp
@@ -0,0 +1,187 @@
+// A fleet of price nodes on loopback: N processes of the real program in zones and regions, each with a runtime and a
+// console of its own, their membership datagrams led through the fault relay. Shared by the tests, the tool and the
+// measurement. The seed is MARBLEWHARF_SEED's, or 1.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "../net/harness.hpp"
+#include "relay.hpp"
+
+namespace fleet_faults {
+
+using namespace harness;
+
+// A UDP port that was free a moment ago on this process's own address.
+inline int free_udp_port() {
+  const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_in a = address_of(0);
+  CHECK(::bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+  socklen_t size = sizeof a;
+  CHECK(::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size) == 0);
+  ::close(fd);
+  return ntohs(a.sin_port);
+}
+
+// One call on a console.
+inline std::string call(int port, const std::string& line) {
+  connection c = connection::to(port);
+  c.send(line);
+  return c.rest();
+}
+
+// A figure of show-stat, by name.
+inline long figure(int console, const std::string& name) {
+  const std::string text = call(console, "show-stat\n");
+  const std::size_t at = text.find("\n" + name + "=");
+  CHECK(at != std::string::npos);
+  return std::stol(text.substr(at + name.size() + 2));
+}
+
+inline std::uint64_t seed() {
+  const char* given = std::getenv("MARBLEWHARF_SEED");
+  return given != nullptr ? std::strtoull(given, nullptr, 10) : 1;
+}
+
+struct fleet_options {
+  int zones = 3, per_zone = 3;
+  std::vector<std::string> regions = {};  // by zone; empty: all in r0
+  int probe_ms = 100;
+  std::string hold_down = "1s";
+  std::string more_of_fleet = "";         // further lines of the section
+  std::function<std::string(int)> operators = {};  // further text of node i's operator's file
+  std::function<void(int, node_options&)> edit = {};
+};
+
+class fleet {
+ public:
+  explicit fleet(fleet_options o = {}) : options_(std::move(o)) {
+    std::vector<int> zone_of;
+    for (int i = 0; i < size(); ++i) {
+      udp_.push_back(free_udp_port());
+      zone_of.push_back(i / options_.per_zone);
+      members_.push_back(std::make_unique<one>());
+    }
+    relay = std::make_unique<fleet_faults::relay>(own_host(), udp_, zone_of, seed());
+    for (int i = 0; i < size(); ++i) start(i);
+  }
+  int size() const { return options_.zones * options_.per_zone; }
+  std::vector<int> all() const { return members_of(0, options_.zones); }
+  // Of the zones from `first` to before `last`.
+  std::vector<int> members_of(int first, int last) const {
+    std::vector<int> out;
+    for (int i = first * options_.per_zone; i < last * options_.per_zone; ++i) out.push_back(i);
+    return out;
+  }
+  std::string region(int z) const {
+    return options_.regions.empty() ? "r0" : options_.regions[static_cast<std::size_t>(z)];
+  }
+
+  // Starts node i, or starts it again with the same addresses.
+  void start(int i) {
+    one& m = *members_[static_cast<std::size_t>(i)];
+    m.n.reset();
+    node_options o;
+    o.operators = operators(i);
+    o.edit_from = "\"seed\"";
+    o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(m.console) + "\",\"seed\"";
+    if (options_.edit) options_.edit(i, o);
+    m.n = std::make_unique<node>(m.r, o);
+    m.r.up();
+  }
+  void kill(int i) {
+    at(i).signal(SIGKILL);
+    at(i).wait();
+  }
+  node& at(int i) { return *members_[static_cast<std::size_t>(i)]->n; }
+  runtime& runtime_of(int i) { return members_[static_cast<std::size_t>(i)]->r; }
+  int udp(int i) const { return udp_[static_cast<std::size_t>(i)]; }
+  int console(int i) const { return members_[static_cast<std::size_t>(i)]->console; }
+  // What the others send to: the relay's port for this node.
+  std::string address(int i) const { return own_host() + ":" + std::to_string(relay->front(i)); }
+
+  std::string zones_seen_by(int i) const { return call(console(i), "show-zones\n"); }
+  std::string members_seen_by(int i) const { return call(console(i), "show-members\n"); }
+  // The line that show-zones of some member has for zone z, up to its state.
+  std::string zone_line(int z, bool out) const {
+    return "\nz" + std::to_string(z) + " " + region(z) + (out ? " out" : " in");
+  }
+  bool says(int i, int z, bool out) const { return zones_seen_by(i).find(zone_line(z, out)) != std::string::npos; }
+  // Waits until every member in `observers` says so of zone z.
+  void all_say(const std::vector<int>& observers, int z, bool out) const {
+    for (const int i : observers) wait([&] { return says(i, z, out); }, i);
+  }
+  // Waits until show-members of member i has such a line.
+  void member_says(int i, const std::string& line) const {
+    wait([&] { return members_seen_by(i).find(line) != std::string::npos; }, i);
+  }
+  // Waits until each of `observers` says all zones in and all the others of `expected` alive.
+  void whole(const std::vector<int>& observers, std::size_t expected) const {
+    for (const int i : observers) {
+      for (int z = 0; z < options_.zones; ++z) all_say({i}, z, false);
+      wait([&] { return alive_seen_by(i) == expected - 1; }, i);
+    }
+  }
+  void whole() const { whole(all(), static_cast<std::size_t>(size())); }
+  std::size_t alive_seen_by(int i) const {
+    const std::string text = members_seen_by(i);
+    std::size_t alive = 0;
+    for (std::size_t at = text.find(" alive "); at != std::string::npos; at = text.find(" alive ", at + 1)) ++alive;
+    return alive;
+  }
+  // How often these members saw any zone declared out. Figures, not log lines: those have a bound a second.
+  long declared_out(const std::vector<int>& who) const {
+    long n = 0;
+    for (const int i : who) n += figure(console(i), "fleet.declared_out");
+    return n;
+  }
+  // What happens is waited for, not timed: three times the harness's patience, since nine processes under sanitizers on
+  // a busy machine are slow.
+  template <typename F>
+  void wait(F&& done, int i) const {
+    const auto until = harness::clock::now() + std::chrono::milliseconds(3 * patience_ms);
+    while (!done()) {
+      if (harness::clock::now() > until)
+        std::fprintf(stderr, "member %d:\n%s%s", i, members_seen_by(i).c_str(), zones_seen_by(i).c_str());
+      CHECK(harness::clock::now() <= until);
+      std::this_thread::sleep_for(20ms);
+    }
+  }
+
+  std::unique_ptr<fleet_faults::relay> relay;
+
+ private:
+  struct one {
+    runtime r;
+    int console = free_port();
+    std::unique_ptr<node> n;
+  };
+
+  std::string operators(int i) const {
+    std::ostringstream o;
+    o << "fleet {\n name = kurse\n listen = \"" << own_host() << ":" << udp(i) << "\"\n advertise = \"" << address(i)
+      << "\"\n zone = z" << i / options_.per_zone << "\n seeds = {\"" << address(0) << "\", \""
+      << address(size() > options_.per_zone ? options_.per_zone : 0) << "\"}\n"
+      << " probe_interval = " << options_.probe_ms << "ms\n probe_timeout = " << options_.probe_ms * 2 / 5
+      << "ms\n hold_down = " << options_.hold_down << "\n vote_lease = 3s\n start_grace = 2s\n" << options_.more_of_fleet << "}\n";
+    for (int z = 0; z < options_.zones; ++z) {
+      o << "zone z" << z << " {\n region = " << region(z) << "\n members = {";
+      for (int k = 0; k < options_.per_zone; ++k)
+        o << (k > 0 ? ", " : "") << "\"" << address(z * options_.per_zone + k) << "\"";
+      o << "}\n}\n";
+    }
+    if (options_.operators) o << options_.operators(i);
+    return o.str();
+  }
+
+  fleet_options options_;
+  std::vector<int> udp_;
+  std::vector<std::unique_ptr<one>> members_;
+};
+
+}  // namespace fleet_faults
--- a/tests/membership/swim_test.cpp
+++ b/tests/membership/swim_test.cpp
@@ -115,6 +115,72 @@
   CHECK(s.suspicion_timeout(3) == s.suspicion_timeout(30));  // the least after K
 }
 
+// One suspicion that many pass on is one: only who suspects by its own probe confirms.
+void hearsay_confirms_nothing() {
+  const auto speaker = [](int i) { return claim{fleet::at(i), "z0", "r0", 1, health::alive}; };
+  const auto suspected_for = [&](bool independent) {
+    swim s(options{}, speaker(0), {}, 0s);
+    std::mt19937_64 random(1);
+    for (int i = 1; i < 9; ++i) s.receive(0s, message{kind::ack, speaker(i), 0, "", {}, {}});
+    for (int i = 1; i < 6; ++i) {
+      claim c = speaker(8);
+      c.state = health::suspect;
+      c.by = fleet::at(independent ? i : 1);
+      s.receive(0s, message{kind::ack, speaker(i), 0, "", {c}, {}});
+    }
+    time_point now = 0s;
+    while (s.members().at(fleet::at(8)).state != health::dead) s.step(now += 10ms, random);
+    return now;
+  };
+  const swim s(options{}, speaker(0), {}, 0s);
+  CHECK(suspected_for(false) >= s.suspicion_timeout(0) - 10ms);
+  CHECK(suspected_for(true) <= s.suspicion_timeout(3) + 10ms);
+}
+
+// Two members that could not reach each other, nor hear of each other by the changes' gossip, when they joined: both
+// learn of the other from the table that goes round.
+void strangers_meet() {
+  std::mt19937_64 random(1);
+  time_point now = 0s;
+  options o;
+  o.retransmit_mult = 0;  // one copy of each change: all of them gone before the other joins
+  const auto member = [&](const std::string& a) {
+    return swim(o, claim{a, "z0", "r0", 1, health::alive}, {"hub:1"}, now);
+  };
+  std::map<std::string, swim> all;
+  for (const std::string a : {"hub:1", "a:1"}) all.emplace(a, member(a));
+  const auto run = [&](duration d) {
+    for (const time_point until = now + d; now < until;) {
+      now += 10ms;
+      for (auto& [address, m] : all) {
+        m.step(now, random);
+        for (envelope& e : m.take_outbox())
+          if (const auto to = all.find(e.to); to != all.end()) to->second.receive(now, e.m);
+      }
+    }
+  };
+  run(5s);
+  all.emplace("b:1", member("b:1"));
+  run(10s);
+  CHECK(all.at("a:1").members().contains("b:1") && all.at("b:1").members().contains("a:1"));
+}
+
+// Made-up members and probes to carry out fill no table without end.
+void tables_are_bounded() {
+  options o;
+  o.members_most = 16;
+  o.relays_most = 4;
+  swim s(o, claim{"a:1", "z", "r", 1, health::alive}, {}, 0s);
+  for (int i = 0; i < 100; ++i) {
+    const claim from{"b:" + std::to_string(i), "z", "r", 1, health::alive};
+    s.receive(0s, message{kind::ping_req, from, 1, "c:" + std::to_string(i), {}, {}});
+  }
+  CHECK(s.members().size() == 16);
+  std::size_t pings = 0;
+  for (const envelope& e : s.take_outbox()) pings += e.m.what == kind::ping;
+  CHECK(pings == 4);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -130,6 +196,9 @@
     else if (name == "heals") a_partition_heals(s);
   }
   if (name == "suspicion") suspicion_shrinks_with_confirmations();
+  else if (name == "hearsay") hearsay_confirms_nothing();
+  else if (name == "bounds") tables_are_bounded();
+  else if (name == "meet") strangers_meet();
   else if (name != "converges" && name != "silent" && name != "paused" && name != "heals") CHECK(false);
   std::printf("%s passed\n", name.c_str());
   return 0;
