--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -221,6 +221,7 @@
   int directory_port = 0;              // 0: as the node's own
   int listen_port = 0;                 // 0: one of its own; else beside a node that listens there
   std::string tmpdir{};                // $TMPDIR of the process; empty: as the test's
+  std::string program = MARBLEWHARF;   // the program itself; a measurement may compare two
 };
 
 class node {
@@ -250,7 +251,7 @@
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails leaves no node behind
       ::dup2(::open(log_path.c_str(), O_CREAT | O_WRONLY, 0600), 2);
-      ::execve(MARBLEWHARF, arguments.data(), environment.data());
+      ::execve(o.program.c_str(), arguments.data(), environment.data());
       ::_exit(127);
     }
   }
@@ -283,6 +284,13 @@
     stat >> user >> system;
     return std::chrono::milliseconds((user + system) * 1000 / ::sysconf(_SC_CLK_TCK));
   }
+  // The same of its main thread alone, the reactor's, to the nanosecond.
+  std::chrono::nanoseconds reactor_used() const {
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/schedstat");
+    long long ns = 0;
+    stat >> ns;
+    return std::chrono::nanoseconds(ns);
+  }
   long resident_kb() const {
     std::ifstream statm("/proc/" + std::to_string(pid_) + "/statm");
     long size = 0, resident = 0;
--- /dev/null
+++ b/tools/fleet/experiments.hpp
@@ -0,0 +1,147 @@
+// Experiments on fleets of real processes on loopback: what the tool writes as tables and the measurement sums up.
+//
+// Each fleet is nine processes in three zones behind the tests' fault relay; several fleets run side by side, each on a
+// thread of its own. All randomness from the seed given. Times are the steady clock's, in milliseconds.
+#pragma once
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "../../tests/fleet/routed.hpp"
+
+namespace fleet_experiments {
+
+using namespace fleet_faults;
+
+inline double ms(harness::clock::duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
+
+// One zone lost and back.
+struct zone_loss {
+  int fleet = 0, fault = 0, zone = 0;
+  std::string how;      // killed, cut (both ways), one_way
+  double first_ms = 0;  // from the fault until the first member says the zone out
+  double agreed_ms = 0; // ... until every member of the other zones does
+  double back_ms = 0;   // from the heal or restart until all say in and all know all
+  long wrong = 0;       // verdicts on a zone that was well
+};
+
+// `faults` of them over `fleets` fleets side by side.
+inline std::vector<zone_loss> zone_losses(int faults, int fleets, int probe_ms, std::uint64_t seed_of_all) {
+  std::vector<zone_loss> rows;
+  std::mutex guard, starting;
+  std::atomic<int> next = 0;
+  const auto run = [&](int number) {
+    std::unique_ptr<fleet> f;
+    {
+      // One after the other: ports are found free, then bound.
+      const std::lock_guard lock(starting);
+      f = std::make_unique<fleet>(fleet_options{.probe_ms = probe_ms});
+    }
+    f->whole();
+    for (int fault; (fault = next++) < faults;) {
+      std::mt19937_64 random(seed_of_all * 1000 + static_cast<std::uint64_t>(fault));
+      zone_loss row{number, fault, static_cast<int>(random() % 3), ""};
+      const char* const ways[] = {"killed", "cut", "one_way"};
+      row.how = ways[random() % 3];
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % (5 * static_cast<unsigned>(probe_ms))));
+      std::vector<int> others;
+      for (const int i : f->all())
+        if (i / 3 != row.zone) others.push_back(i);
+      const long before = f->declared_out(others);
+      const auto begun = harness::clock::now();
+      if (row.how == "killed") {
+        for (const int i : f->members_of(row.zone, row.zone + 1)) f->kill(i);
+      } else {
+        for (int z = 0; z < 3; ++z) {
+          if (z == row.zone) continue;
+          f->relay->cut(row.zone, z);
+          if (row.how == "cut") f->relay->cut(z, row.zone);
+        }
+      }
+      std::vector<int> waiting = others;
+      while (!waiting.empty()) {
+        std::erase_if(waiting, [&](int i) {
+          const bool out = f->says(i, row.zone, true);
+          if (out && row.first_ms == 0) row.first_ms = ms(harness::clock::now() - begun);
+          return out;
+        });
+        CHECK(harness::clock::now() - begun < 120s);
+        std::this_thread::sleep_for(5ms);
+      }
+      row.agreed_ms = ms(harness::clock::now() - begun);
+      row.wrong = f->declared_out(others) - before - static_cast<long>(others.size());
+      const auto healed = harness::clock::now();
+      f->relay->heal();
+      if (row.how == "killed")
+        for (const int i : f->members_of(row.zone, row.zone + 1)) f->start(i);
+      f->whole();
+      row.back_ms = ms(harness::clock::now() - healed);
+      const std::lock_guard lock(guard);
+      rows.push_back(row);
+      std::fprintf(stderr, "fault %d of %d: zone %d %s, agreed after %.0f ms\n", fault + 1, faults, row.zone,
+                   row.how.c_str(), row.agreed_ms);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < fleets; ++i) threads.emplace_back(run, i);
+  for (std::thread& t : threads) t.join();
+  return rows;
+}
+
+// One look at all members of a fleet under loss.
+struct lossy_look {
+  int fleet = 0;
+  double second = 0;
+  long suspect = 0, dead = 0;      // views of members that are not alive, over all members; all are alive in truth
+  long declared_out = 0;           // verdicts, over all members since the start
+  long worst_local_health = 0;
+};
+
+inline std::vector<lossy_look> lossy(double loss, double twice, std::chrono::milliseconds delay, int seconds, int fleets,
+                                     int probe_ms) {
+  std::vector<lossy_look> rows;
+  std::mutex guard, starting;
+  const auto run = [&](int number) {
+    std::unique_ptr<fleet> f;
+    {
+      const std::lock_guard lock(starting);
+      f = std::make_unique<fleet>(fleet_options{.probe_ms = probe_ms});
+    }
+    f->whole();
+    f->relay->lose(loss);
+    f->relay->duplicate(twice);
+    f->relay->delay(delay);
+    const auto begun = harness::clock::now();
+    while (harness::clock::now() - begun < std::chrono::seconds(seconds)) {
+      std::this_thread::sleep_for(250ms);
+      lossy_look row{number, ms(harness::clock::now() - begun) / 1000};
+      for (const int i : f->all()) {
+        const int console = f->console(i);
+        row.suspect += figure(console, "fleet.members_suspect");
+        row.dead += figure(console, "fleet.members_dead");
+        row.declared_out += figure(console, "fleet.declared_out");
+        row.worst_local_health = std::max(row.worst_local_health, figure(console, "fleet.local_health"));
+      }
+      const std::lock_guard lock(guard);
+      rows.push_back(row);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < fleets; ++i) threads.emplace_back(run, i);
+  for (std::thread& t : threads) t.join();
+  return rows;
+}
+
+// Share of routed calls that stay in the caller's zone while all is well.
+inline double share_in_zone(int calls) {
+  routed r;
+  r.f->whole();
+  const std::vector<int> got = r.ask(calls);
+  return static_cast<double>(routed::sum(got, 0, 3)) / static_cast<double>(calls);
+}
+
+}  // namespace fleet_experiments
