--- a/include/wrenrill/policy.hpp
+++ b/include/wrenrill/policy.hpp
@@ -112,7 +112,20 @@
 struct timer_fired {
   std::vector<double> gauges;
 };
-using event = std::variant<arrival, completion, departure, call_needed, call_ended, notice, timer_fired>;
+// What this server may act on of wholes that it shares with others. In force until the next one; before the
+// first there is no bound. What has no share is refused at once, never held for it.
+struct rate_share {
+  unsigned tenant = 0;
+  int request_class = -1;  // -1 = all of the tenant's together
+  double per_second = 0;
+};
+struct shares {
+  double runs = -1;               // handed out at once, calls and stopped ones with them; below 0 = no bound
+  std::vector<rate_share> rates;  // requests let in
+  duration more_in{};             // when there may be a share where there is none now: the advice then
+};
+using event =
+    std::variant<arrival, completion, departure, call_needed, call_ended, notice, timer_fired, shares>;
 
 // Actions, to be applied in order. The policy uses skip_call only where an answer without the call keeps
 // worth (worth_without).
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -129,6 +129,30 @@
   std::string region_of(const std::string& zone) const;
 };
 
+// Wholes that the fleet divides among its nodes (docs/budgets.md), from the operator's file. None named: nothing of it
+// runs, as in `run` on the platform.
+enum class budget_unit { runs, requests, calls };
+struct budget_config {
+  std::string name;
+  budget_unit unit = budget_unit::runs;
+  double whole = 0;
+  double safe = 0;                        // of each configured member, always its own
+  double weight = 1;                      // of this node
+  unsigned tenant = 0;                    // of requests
+  int request_class = -1;                 // of requests; -1: all of the tenant's
+  std::optional<std::size_t> dependency;  // of calls
+};
+struct budgets_config {
+  std::vector<budget_config> all;
+  std::chrono::nanoseconds lease = std::chrono::seconds(2);
+  std::chrono::nanoseconds renew = std::chrono::milliseconds(500);
+  std::chrono::nanoseconds settle{};  // what a lost node had in flight is counted that much longer; the longest deadline
+  double drift = 0.01;                // the most that a clock's rate is wrong
+  double reserve = 0.05;              // share of each whole kept for nodes that join
+  double clock_rate = 1;              // of this node's clock; other than 1 for tests alone
+  bool audit = false;                 // log each share in force, without a bound on lines; for tests alone
+};
+
 struct config {
   std::string name;
   endpoint listen;
@@ -143,6 +167,7 @@
   std::optional<dependencies_config> dependencies;  // none: no class is gathered
   std::optional<writes_config> writes;  // none: no write has several participants
   std::optional<fleet_config> fleet;    // none: membership and failover are off
+  std::optional<budgets_config> budgets;  // none: no whole is divided
 };
 
 // Reads the text of a configuration file.
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -202,8 +202,18 @@
                                 CFG_END()};
     static cfg_opt_t zone[] = {CFG_STR("region", nullptr, CFGF_NONE), CFG_STR_LIST("members", nullptr, CFGF_NONE),
                                CFG_END()};
+    static cfg_opt_t budget_rules[] = {CFG_STR("lease", "2s", CFGF_NONE),     CFG_STR("renew", "500ms", CFGF_NONE),
+                                       CFG_STR("settle", nullptr, CFGF_NONE), CFG_STR("drift", "0.01", CFGF_NONE),
+                                       CFG_STR("reserve", "0.05", CFGF_NONE), CFG_STR("clock_rate", "1", CFGF_NONE),
+                                       CFG_STR("audit", "no", CFGF_NONE),     CFG_END()};
+    static cfg_opt_t budget[] = {CFG_STR("unit", nullptr, CFGF_NONE),   CFG_STR("whole", nullptr, CFGF_NONE),
+                                 CFG_STR("safe", "0", CFGF_NONE),       CFG_STR("weight", "1", CFGF_NONE),
+                                 CFG_STR("tenant", nullptr, CFGF_NONE), CFG_STR("class", nullptr, CFGF_NONE),
+                                 CFG_STR("dependency", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
                               CFG_SEC("fleet", fleet, CFGF_NODEFAULT),
+                              CFG_SEC("budgets", budget_rules, CFGF_NODEFAULT),
+                              CFG_SEC("budget", budget, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("zone", zone, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("class", request_class, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                               CFG_SEC("dependencies", common, CFGF_NODEFAULT),
@@ -216,7 +226,7 @@
     for (const auto& [name, options] :
          {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant},
           {"dependencies", common}, {"writes", writes}, {"dependency", dependency}, {"part", part},
-          {"fleet", fleet}, {"zone", zone}}) {
+          {"fleet", fleet}, {"zone", zone}, {"budgets", budget_rules}, {"budget", budget}}) {
       for (const cfg_opt_t* o = options; o->name != nullptr; ++o)
         cfg_set_validate_func(cfg_.get(), (std::string(name) + "|" + o->name).c_str(), note_line);
     }
@@ -246,6 +256,7 @@
       throw bad_config(path_ + ":0: keyed is missing, and a class has keyed = yes");
     }
     read_writes(c);
+    read_budgets(c);
   }
 
  private:
@@ -468,6 +479,76 @@
     c.fleet = std::move(f);
   }
 
+  void read_budgets(config& c) const {
+    using namespace std::chrono_literals;
+    if (cfg_size(cfg_.get(), "budget") == 0) {
+      if (cfg_size(cfg_.get(), "budgets") > 0) only("budgets").fail(nullptr, "is set, and no budget is named");
+      return;
+    }
+    budgets_config all;
+    for (const auto& k : c.settings.classes) all.settle = std::max(all.settle, k.deadline);
+    if (cfg_size(cfg_.get(), "budgets") > 0) {
+      const section s = only("budgets");
+      all.lease = s.time("lease", 200ms, 600s);
+      // Two renewals may be lost before a lease ends.
+      all.renew = s.time("renew", 10ms, all.lease / 3);
+      if (!s.text("settle").empty()) all.settle = s.time("settle", 0s, 3600s);
+      all.drift = s.number("drift", 0, 0.2);
+      all.reserve = s.number("reserve", 0, 0.5);
+      all.clock_rate = s.number("clock_rate", 0.5, 2);
+      all.audit = s.flag("audit");
+    }
+    std::size_t members = 0;
+    if (c.fleet)
+      for (const fleet_zone& z : c.fleet->zones) members += z.members.size();
+    each("budget", [&](const section& s, const std::string& title) {
+      if (!c.fleet) s.fail(nullptr, "is set, and fleet is missing");
+      budget_config b;
+      b.name = title;
+      const std::string unit = s.needed("unit");
+      b.whole = s.number("whole", 0, 1e9);
+      b.safe = s.number("safe", 0, 1e9);
+      b.weight = s.number("weight", 0.001, 1000);
+      if (b.whole <= 0) s.fail("whole", "is nothing", s.text("whole"));
+      if (b.safe * static_cast<double>(members) > b.whole)
+        s.fail("safe", "of " + std::to_string(members) + " members is more than the whole", s.text("safe"));
+      const auto only_for = [&](const char* key, const char* which) {
+        if (unit == which && s.text(key).empty()) s.fail(key, "is missing");
+        if (unit != which && !s.text(key).empty()) s.fail(key, std::string("goes with unit = ") + which);
+      };
+      only_for("tenant", "requests");
+      only_for("dependency", "calls");
+      if (unit != "requests" && !s.text("class").empty()) s.fail("class", "goes with unit = requests");
+      if (unit == "runs") {
+        b.unit = budget_unit::runs;
+        for (const budget_config& other : all.all)
+          if (other.unit == b.unit) s.fail("unit", "of runs has a budget already", other.name);
+      } else if (unit == "requests") {
+        b.unit = budget_unit::requests;
+        b.tenant = static_cast<unsigned>(named(s, "tenant", c.settings.tenants));
+        if (!s.text("class").empty()) b.request_class = static_cast<int>(named(s, "class", c.settings.classes));
+      } else if (unit == "calls") {
+        b.unit = budget_unit::calls;
+        if (!c.dependencies) s.fail("dependency", "names no dependency", s.text("dependency"));
+        b.dependency = dependency_of(s, "dependency", s.text("dependency"), *c.dependencies);
+      } else {
+        s.fail("unit", "is none of runs, requests, calls", unit);
+      }
+      all.all.push_back(std::move(b));
+      constexpr std::size_t most = 32;  // one datagram names them all
+      if (all.all.size() > most) s.fail(nullptr, "is one too many: " + std::to_string(most) + " at the most");
+    });
+    c.budgets = std::move(all);
+  }
+  // The index of what a key names among things of the settings.
+  template <typename T>
+  static std::size_t named(const section& s, const char* key, const std::vector<T>& known) {
+    const std::string text = s.text(key);
+    const auto at = std::find_if(known.begin(), known.end(), [&](const T& k) { return k.name == text; });
+    if (at == known.end()) s.fail(key, "names nothing in the settings", text);
+    return static_cast<std::size_t>(at - known.begin());
+  }
+
   void read_writes(config& c) const {
     using namespace std::chrono_literals;
     writes_config w;
--- a/src/console/front.cpp
+++ b/src/console/front.cpp
@@ -125,6 +125,10 @@
       const std::optional<std::string> lines = desk_.zones();
       return lines ? "200 zones follow\n" + *lines + "EOF\n" : "400 no fleet\n";
     }
+    case ops::console_call::show_budgets: {
+      const std::optional<std::string> lines = desk_.budgets();
+      return lines ? "200 budgets follow\n" + *lines + "EOF\n" : "400 no budgets\n";
+    }
   }
   return "400 unknown call\n";
 }
--- a/src/console/front.hpp
+++ b/src/console/front.hpp
@@ -29,6 +29,8 @@
   // Lines of the fleet, each ending in "\n"; none where the node is in no fleet.
   virtual std::optional<std::string> members() = 0;
   virtual std::optional<std::string> zones() = 0;
+  // The same of budgets; none where none is named.
+  virtual std::optional<std::string> budgets() = 0;
 };
 
 class server {
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -74,6 +74,10 @@
   pending_.emplace_back(wrenrill::notice{fact.left});
 }
 
+void admission::report(const shares& fact) {
+  pending_.emplace_back(fact);
+}
+
 void admission::tick(time_point now, std::span<const double> gauges) {
   // The module knows of one timer and sets no other before it fired: one that fires too early is lost to it,
   // and with it every later one. Guards against a node that was started cold and only acts when something
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -37,6 +37,7 @@
 struct drain {
   duration left{};  // until the process is stopped
 };
+using shares = wrenrill::shares;  // of wholes that this node has a part in
 
 // Decisions.
 struct run {
@@ -92,6 +93,7 @@
   void report(const needs_call& fact);
   void report(const call_over& fact);
   void report(const drain& fact);
+  void report(const shares& fact);
 
   // Decides on all that was reported and all that has become due. Gauges are in the order of the settings;
   // none: unknown.
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -41,6 +41,7 @@
   e.what.arrived = now_ - e.what.waited;
   e.from = &from;
   e.to = &to;
+  if (watch_) watch_(e.what);
   if (keys_ != nullptr && !e.what.key.empty()) {
     arrive_with_key(last_id_, e);
   } else {
@@ -55,6 +56,15 @@
   return owed;
 }
 
+dispatcher::load dispatcher::in_hand() const {
+  load l;
+  for (const auto& [id, e] : table_) {
+    if (e.started) ++l.running;
+    else if (!e.answered) ++l.waiting;
+  }
+  return l;
+}
+
 void dispatcher::on_gone(request_id id) {
   const auto at = table_.find(id);
   if (at == table_.end() || at->second.answered) return;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -7,6 +7,7 @@
 // those that follow, and one that was handed over goes on for those to come.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <span>
@@ -68,6 +69,10 @@
   void on_call_needed(request_id id);
   void on_call_ended(request_id id, duration elapsed);
   void on_drain(duration left);
+  // Hears of each request as it is read; none: nobody does.
+  void watch_arrivals(std::function<void(const request&)> watch) { watch_ = std::move(watch); }
+  // What this node may act on of wholes that it shares with others, from the next step on.
+  void on_shares(const shares& given) { admission_.report(given); }
   void on_inquired(request_id id, inquiry_end how, std::string_view result);
 
   // key_events
@@ -85,6 +90,11 @@
   // Requests read whose caller is still owed an answer; runs that go on after their answer are not among them.
   // Looks at each entry: for the operators' figures, not for each request.
   std::size_t unanswered() const;
+  // Requests handed to a backend that have not ended, and those that wait to be, all of them. Looks at each entry.
+  struct load {
+    std::size_t running = 0, waiting = 0;
+  };
+  load in_hand() const;
 
  private:
   // Of a request that leads for its key.
@@ -137,6 +147,7 @@
   void close_leader(table::iterator at, run_end how);
   void step_keys();
 
+  std::function<void(const request&)> watch_;
   wrenrill::settings settings_;
   std::uint64_t seed_;
   telemetry::counters& counters_;
--- a/src/dependencies/conductor.cpp
+++ b/src/dependencies/conductor.cpp
@@ -103,7 +103,12 @@
     next_step(id, part, now);
     return;
   }
-  if (d.in_flight >= d.limit.allowed()) {
+  if (d.in_flight >= d.allowed()) {
+    if (d.share < 1) {
+      ++d.counts.no_room;
+      next_step(id, part, now);
+      return;
+    }
     if (p.waits) return;
     // The oldest entries may be of parts that are long over.
     while (!d.waiting.empty()) {
@@ -167,7 +172,7 @@
   const call c = calls_.at(id);
   part_run& p = find(c.gathering)->parts[c.part];
   source& d = dependencies_[c.dependency];
-  if (p.done || p.calls.size() != 1 || d.in_flight >= d.limit.allowed() || now + expected(d) > p.give_up) return;
+  if (p.done || p.calls.size() != 1 || d.in_flight >= d.allowed() || now + expected(d) > p.give_up) return;
   const auto other = d.where.choose(now, random_(), false, c.endpoint);
   if (!other || !d.hedges.take(now)) return;
   ++d.counts.hedges;
@@ -288,7 +293,7 @@
 // whose time is nearly over, and all would come late.
 void conductor::admit_waiting(std::size_t which, time_point now) {
   source& d = dependencies_[which];
-  while (!d.waiting.empty() && d.in_flight < d.limit.allowed()) {
+  while (!d.waiting.empty() && d.in_flight < d.allowed()) {
     const auto [id, part] = d.waiting.back();
     d.waiting.pop_back();
     gathering* g = find(id);
--- a/src/dependencies/conductor.hpp
+++ b/src/dependencies/conductor.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -93,12 +94,17 @@
     dependencies_[dependency].where.set_reachable(endpoint, reachable);
   }
 
+  // A bound beside the limit that adapts: this node's share of calls that a fleet divides. Below one, parts are not waited
+  // for: what stands in does so at once.
+  void set_share(std::size_t dependency, double most) { dependencies_[dependency].share = most; }
+  std::size_t waiting(std::size_t of) const { return dependencies_[of].waiting.size(); }
+
   std::optional<action> pick();
 
   const plan& plan_at(std::size_t i) const { return plans_[i]; }
   // By dependency.
   const dependency_counts& counts(std::size_t of) const { return dependencies_[of].counts; }
-  unsigned allowed(std::size_t of) const { return dependencies_[of].limit.allowed(); }
+  unsigned allowed(std::size_t of) const { return dependencies_[of].allowed(); }
   unsigned in_flight(std::size_t of) const { return dependencies_[of].in_flight; }
   const endpoints& endpoints_of(std::size_t of) const { return dependencies_[of].where; }
   std::size_t open() const { return gatherings_.size(); }
@@ -113,6 +119,10 @@
     unsigned in_flight = 0;
     std::deque<std::pair<gathering_id, std::size_t>> waiting;  // parts, for room in flight
     dependency_counts counts;
+    double share = std::numeric_limits<double>::infinity();
+    unsigned allowed() const {
+      return share < limit.allowed() ? static_cast<unsigned>(share) : limit.allowed();
+    }
   };
   struct part_run {
     bool done = false;
--- a/src/dependencies/gatherer.hpp
+++ b/src/dependencies/gatherer.hpp
@@ -41,6 +41,14 @@
   void print() const;
   // The view of the fleet has changed: `routable` tells of a place (a zone or a member) whether calls may go there.
   void routes_changed(const std::function<bool(const std::string&)>& routable);
+  // This node's share of calls at a dependency, and what it has and wants of them.
+  void set_share(std::size_t dependency, double most) { conductor_.set_share(dependency, most); }
+  struct calls {
+    std::size_t in_flight = 0, waiting = 0;
+  };
+  calls calls_at(std::size_t dependency) const {
+    return {conductor_.in_flight(dependency), conductor_.waiting(dependency)};
+  }
   // For show-stat, of dependencies whose endpoints have places: calls by nearness.
   std::string figures() const;
 
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -116,8 +116,9 @@
       break;
     }
     if (n <= 0) break;
-    const membership::decoded d =
-        membership::decode(settings_.name, std::string_view(datagram, static_cast<std::size_t>(n)));
+    const std::string_view bytes(datagram, static_cast<std::size_t>(n));
+    if (other_ && other_(bytes)) continue;
+    const membership::decoded d = membership::decode(settings_.name, bytes);
     switch (d.fault) {
       case membership::wire_fault::foreign: ++figures_.foreign; continue;
       case membership::wire_fault::version: ++figures_.version; continue;
@@ -177,19 +178,26 @@
   for (membership::envelope& e : swim_.take_outbox()) {
     e.m.ballots = ballots_;
     for (const failover::vote& v : view_.take_news(settings_.votes_per_message)) e.m.ballots.push_back(ballot_of(v));
-    const std::string bytes = membership::encode(settings_.name, e.m);
-    const std::size_t colon = e.to.rfind(':');
-    try {
-      const Poco::Net::SocketAddress to(e.to.substr(0, colon),
-                                        static_cast<Poco::UInt16>(std::stoi(e.to.substr(colon + 1))));
-      if (socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), to) > 0) {
-        ++figures_.sent;
-        continue;
-      }
-    } catch (const std::exception&) {  // Poco's and stoi's: a full buffer, an address that is none
+    send(e.to, membership::encode(settings_.name, e.m));
+  }
+}
+
+void link::send(const std::string& to, const std::string& bytes) {
+  const std::size_t colon = to.rfind(':');
+  try {
+    const Poco::Net::SocketAddress at(to.substr(0, colon), static_cast<Poco::UInt16>(std::stoi(to.substr(colon + 1))));
+    if (socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), at) > 0) {
+      ++figures_.sent;
+      return;
     }
-    ++figures_.unsent;
+  } catch (const std::exception&) {  // Poco's and stoi's: a full buffer, an address that is none
   }
+  ++figures_.unsent;
+}
+
+bool link::alive(const std::string& address) const {
+  const auto found = swim_.members().find(address);
+  return found != swim_.members().end() && found->second.state == membership::health::alive;
 }
 
 void link::log_changes() {
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -11,9 +11,11 @@
 #include <Poco/Net/SocketNotification.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/config.hpp"
@@ -50,6 +52,12 @@
   // Whether calls may go to a place, a zone's name or a member's address: not to a zone declared out in common unless
   // it is this node's own, nor to a member that is suspected, dead or not heard of.
   bool routable(const std::string& place) const;
+  // Whether a member lives, as this one sees it.
+  bool alive(const std::string& address) const;
+  // Reads datagrams before membership does; false: they are not its own.
+  void hear(std::function<bool(std::string_view)> other) { other_ = std::move(other); }
+  // Sends a datagram at once or not at all (counted in fleet.unsent).
+  void send(const std::string& to, const std::string& bytes);
   // Rises with each change that routable() may tell differently after.
   std::uint64_t changes() const { return changes_; }
 
@@ -68,6 +76,7 @@
   std::map<std::string, std::string> zone_of_;  // configured member address -> zone
   std::map<std::string, failover::verdict> logged_;  // the verdicts last logged, to log each move once
   std::vector<membership::ballot> ballots_;           // this member's standing votes, on every datagram
+  std::function<bool(std::string_view)> other_;
   figures figures_;
   std::uint64_t changes_ = 0;
   time_point started_;
--- /dev/null
+++ b/src/fleet/shares.cpp
@@ -0,0 +1,211 @@
+#include "fleet/shares.hpp"
+
+#include <time.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <sstream>
+
+#include "budgets/wire.hpp"
+#include "telemetry/telemetry.hpp"
+
+namespace marblewharf::fleet {
+
+namespace {
+
+constexpr duration measure_every = std::chrono::milliseconds(50);
+constexpr double fade_s = 1;      // of what was counted: a burst is over when a second has gone by without it
+constexpr double headroom = 1.1;  // over what is measured: the next second's arrivals are not the last one's
+constexpr double headroom_units = 1;
+
+std::string text_of(const endpoint& e) {
+  return e.host + ":" + std::to_string(e.port);
+}
+
+std::set<std::string> members_of(const fleet_config& f) {
+  std::set<std::string> all;
+  for (const fleet_zone& z : f.zones)
+    for (const endpoint& m : z.members) all.insert(text_of(m));
+  return all;
+}
+
+std::vector<budgets::budget> budgets_of(const budgets_config& c) {
+  std::vector<budgets::budget> all;
+  for (const budget_config& b : c.all)
+    all.push_back({b.name, b.whole, b.safe, b.weight, b.unit != budget_unit::requests});
+  return all;
+}
+
+budgets::office_options options_of(const budgets_config& c) {
+  budgets::office_options o;
+  o.rules = {c.lease, c.drift};
+  o.renew = c.renew;
+  o.reserve = c.reserve;
+  o.settle = c.settle;
+  return o;
+}
+
+const char* name_of(budget_unit u) {
+  switch (u) {
+    case budget_unit::runs: return "runs";
+    case budget_unit::requests: return "requests";
+    case budget_unit::calls: return "calls";
+  }
+  return "?";
+}
+
+}  // namespace
+
+shares::shares(link& to, const config& settings, dispatcher& desk, telemetry::counters& counters,
+               calls_user calls)
+    : link_(to),
+      settings_(*settings.budgets),
+      fleet_(settings.fleet->name),
+      desk_(desk),
+      counters_(counters),
+      calls_(std::move(calls)),
+      office_(options_of(settings_), budgets_of(settings_), members_of(*settings.fleet),
+              text_of(settings.fleet->advertise), static_cast<std::uint64_t>(net::unix_ms()), clock()),
+      uses_(settings_.all.size()),
+      meters_(settings_.all.size()),
+      told_(settings_.all.size(), -1),
+      moved_(settings_.all.size()) {
+  link_.hear([this](std::string_view datagram) { return on_datagram(datagram); });
+  desk_.watch_arrivals([this](const request& what) {
+    for (std::size_t i = 0; i < settings_.all.size(); ++i) {
+      const budget_config& b = settings_.all[i];
+      if (b.unit == budget_unit::requests && b.tenant == what.tenant &&
+          (b.request_class < 0 || b.request_class == static_cast<int>(what.request_class)))
+        ++meters_[i].counted;
+    }
+  });
+  apply(clock());  // the safe shares bind from the first request on
+}
+
+// The clock of leases: it goes on while the machine sleeps. `clock_rate` makes it run apart for tests.
+budgets::time_point shares::clock() const {
+  timespec t{};
+  ::clock_gettime(CLOCK_BOOTTIME, &t);
+  const auto ns = std::chrono::seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec);
+  if (settings_.clock_rate == 1) return ns;
+  return budgets::time_point(
+      static_cast<std::int64_t>(static_cast<double>(ns.count()) * settings_.clock_rate));
+}
+
+bool shares::on_datagram(std::string_view datagram) {
+  const budgets::decoded d = budgets::decode(fleet_, datagram);
+  switch (d.fault) {
+    case budgets::wire_fault::not_ours: return false;
+    case budgets::wire_fault::foreign: ++foreign_; return true;
+    case budgets::wire_fault::version: ++version_; return true;
+    case budgets::wire_fault::undecodable: ++undecodable_; return true;
+    case budgets::wire_fault::none: break;
+  }
+  const budgets::time_point at = clock();
+  office_.receive(at, *d.m);
+  apply(at);
+  flush();
+  return true;
+}
+
+void shares::measure(time_point now) {
+  if (now - measured_ < measure_every) return;
+  const double gone =
+      measured_.count() == 0 ? fade_s : std::chrono::duration<double>(now - measured_).count();
+  measured_ = now;
+  const double keep = std::exp(-gone / fade_s);
+  const dispatcher::load load = desk_.in_hand();
+  refused_lately_ = refused_lately_ * keep + static_cast<double>(counters_.refused - refused_before_);
+  refused_before_ = counters_.refused;
+  for (std::size_t i = 0; i < settings_.all.size(); ++i) {
+    const budget_config& b = settings_.all[i];
+    meter& m = meters_[i];
+    switch (b.unit) {
+      case budget_unit::runs:
+        uses_[i] = {
+            static_cast<double>(load.running),
+            headroom * (static_cast<double>(load.running + load.waiting) + refused_lately_) + headroom_units};
+        break;
+      case budget_unit::requests:
+        m.per_second = m.per_second * keep + (1 - keep) * static_cast<double>(m.counted) / gone;
+        m.counted = 0;
+        uses_[i] = {0, headroom * m.per_second + headroom_units};
+        break;
+      case budget_unit::calls: uses_[i] = calls_.use(*b.dependency); break;
+    }
+  }
+}
+
+time_point shares::step(time_point now) {
+  measure(now);
+  const budgets::time_point at = clock();
+  const budgets::time_point due =
+      office_.step(at, uses_, [this](const std::string& m) { return link_.alive(m); });
+  apply(at);
+  flush();
+  return now + std::clamp<duration>(due - at, std::chrono::milliseconds(1), measure_every);
+}
+
+// Shares that changed go to whoever acts on them. A whole number of runs or calls: two halves make no one
+// run.
+void shares::apply(budgets::time_point at) {
+  bool module_changed = false;
+  marblewharf::shares given;
+  given.more_in = settings_.renew;
+  for (std::size_t i = 0; i < settings_.all.size(); ++i) {
+    const budget_config& b = settings_.all[i];
+    const double share = office_.share(i, at);
+    const double acted = b.unit == budget_unit::requests ? share : std::floor(share + 1e-6);
+    if (b.unit == budget_unit::runs) given.runs = acted;
+    if (b.unit == budget_unit::requests) given.rates.push_back({b.tenant, b.request_class, acted});
+    if (acted == told_[i]) continue;
+    module_changed = module_changed || b.unit != budget_unit::calls;
+    if (b.unit == budget_unit::calls) calls_.limit(*b.dependency, acted);
+    told_[i] = acted;
+    ++moved_[i];
+    telemetry::log("share", "%s: %.6g of %.6g %s", b.name.c_str(), acted, b.whole, name_of(b.unit));
+  }
+  if (module_changed) desk_.on_shares(given);
+  const std::vector<budgets::change> changes = office_.take_changes();
+  if (!settings_.audit) return;
+  // For the auditor of tests, without the bound on lines: what is in force from now until when, by the
+  // machine's own clock.
+  const double rate = settings_.clock_rate;
+  for (const budgets::change& c : changes)
+    telemetry::audit("share %zu %.9g from %.0f until %.0f", c.budget, c.share,
+                     static_cast<double>(at.count()) / rate, static_cast<double>(c.until.count()) / rate);
+}
+
+void shares::flush() {
+  for (const budgets::envelope& e : office_.take_outbox()) link_.send(e.to, budgets::encode(fleet_, e.m));
+}
+
+std::string shares::show_budgets() const {
+  const budgets::time_point at = clock();
+  const auto left = std::max<std::int64_t>(0, (office_.until() - at) / std::chrono::milliseconds(1));
+  std::ostringstream out;
+  for (std::size_t i = 0; i < settings_.all.size(); ++i) {
+    const budget_config& b = settings_.all[i];
+    out << b.name << ' ' << name_of(b.unit) << ' ' << b.whole << ' ' << office_.share(i, at) << ' '
+        << (b.unit == budget_unit::requests ? meters_[i].per_second : uses_[i].in_force) << ' '
+        << uses_[i].demand << ' ' << left << ' ' << office_.leader(at).value_or("none") << '\n';
+  }
+  return out.str();
+}
+
+std::string shares::show_figures() const {
+  const budgets::time_point at = clock();
+  std::ostringstream out;
+  for (std::size_t i = 0; i < settings_.all.size(); ++i) {
+    const std::string name = "budget." + settings_.all[i].name;
+    out << name << ".share=" << office_.share(i, at) << '\n' << name << ".moved=" << moved_[i] << '\n';
+    if (const auto committed = office_.committed(i, at)) out << name << ".committed=" << *committed << '\n';
+  }
+  out << "budgets.leads=" << (office_.leads(at) ? 1 : 0) << "\nbudgets.term=" << office_.term()
+      << "\nbudgets.mismatched=" << office_.mismatched() << "\nbudgets.foreign=" << foreign_
+      << "\nbudgets.version=" << version_ << "\nbudgets.undecodable=" << undecodable_ << '\n';
+  return out.str();
+}
+
+}  // namespace marblewharf::fleet
--- /dev/null
+++ b/src/fleet/shares.hpp
@@ -0,0 +1,71 @@
+// The node's part in the fleet's budgets: carries the office's messages over the fleet's socket, tells it
+// what the node uses and could use, and passes shares on to whoever acts on them (docs/budgets.md).
+//
+// Exists only where the operator's file names a budget; `run` on the platform never does. Owned by the
+// reactor's thread.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "budgets/office.hpp"
+#include "config/config.hpp"
+#include "core/dispatcher.hpp"
+#include "fleet/link.hpp"
+
+namespace marblewharf::fleet {
+
+// Whoever acts on a share of calls at a dependency.
+struct calls_user {
+  std::function<void(std::size_t dependency, double calls)> limit;
+  std::function<budgets::use(std::size_t dependency)> use;
+};
+
+class shares {
+ public:
+  shares(link& to, const config& settings, dispatcher& desk, telemetry::counters& counters, calls_user calls);
+  shares(const shares&) = delete;
+  shares& operator=(const shares&) = delete;
+
+  // Asks, answers, renews; hands shares on. Returns when it wants to be called again.
+  time_point step(time_point now);
+
+  // One line a budget: "NAME UNIT WHOLE SHARE USE DEMAND LEASE_MS LEADER"; LEASE_MS is what is left of the
+  // lease.
+  std::string show_budgets() const;
+  // Lines of `budget.NAME.FIGURE=VALUE` for show-stat.
+  std::string show_figures() const;
+
+ private:
+  // Arrivals a second, over the last one or so.
+  struct meter {
+    double per_second = 0;
+    std::uint64_t counted = 0;
+    time_point since{};
+  };
+  bool on_datagram(std::string_view datagram);
+  budgets::time_point clock() const;
+  void measure(time_point now);
+  void apply(budgets::time_point at);
+  void flush();
+
+  link& link_;
+  const budgets_config& settings_;
+  const std::string fleet_;
+  dispatcher& desk_;
+  telemetry::counters& counters_;
+  calls_user calls_;
+  budgets::office office_;
+  std::vector<budgets::use> uses_;
+  std::vector<meter> meters_;  // by budget, of requests
+  std::uint64_t refused_before_ = 0;
+  double refused_lately_ = 0;  // runs wanted by what was refused, fading over a second
+  time_point measured_{};
+  std::vector<double> told_;          // shares handed on
+  std::vector<std::uint64_t> moved_;  // by budget: how often a share changed
+  std::uint64_t foreign_ = 0, version_ = 0, undecodable_ = 0;
+};
+
+}  // namespace marblewharf::fleet
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -66,9 +66,10 @@
 constexpr double best_creep = 1.001;  // factor a window: forgotten more slowly than troubles last
 constexpr double missed_ends = 20;    // run ends expected and not seen: far beyond a few long runs
 constexpr duration idle_keep = 5s;    // a caller back within this is worth its idle connection
-constexpr duration idle_least = 200ms;    // else: long enough for a further try at once
-constexpr double reuse_memory = 50;       // arrivals over which the returns of callers are averaged
-constexpr double reuse_worth = 0.5;       // share of callers back within idle_keep: under it none is awaited
+constexpr duration idle_least = 200ms;  // else: long enough for a further try at once
+constexpr double reuse_memory = 50;     // arrivals over which the returns of callers are averaged
+constexpr double reuse_worth = 0.5;     // share of callers back within idle_keep: under it none is awaited
+constexpr double rate_burst = 0.1;      // s of a rate share that may come at once: arrivals are no clockwork
 constexpr duration limit_window = 250ms;  // between looks at the gauge: less than a burst takes to rise
 
 double to_seconds(duration d) {
@@ -112,6 +113,12 @@
   unsigned held = 0;  // busy while above 0
 };
 
+struct rate_bucket {
+  rate_share of;
+  double tokens = 1;
+  time_point filled{};
+};
+
 }  // namespace
 
 class policy::impl {
@@ -129,6 +136,7 @@
   void on(const call_ended& c);
   void on(const notice& n);
   void on(const timer_fired& t);
+  void on(const shares& s);
 
   void resync();
   void tag(request& r);
@@ -150,7 +158,7 @@
   void set_wake(request& r);
   void schedule();
 
-  void turn_away(request& r, bool no_use = false);
+  void turn_away(request& r, bool no_use = false, duration at_least = {});
   void refund(const request& r);
   void give_up(request& r);
   void release(request& r);
@@ -179,6 +187,8 @@
   void steer_idle();
   double free_takes() const;
   bool fits_as_run(const request& r) const;
+  double runs_room() const;
+  bool has_share(const request& r);
   template <typename T>
   void act(T a) {
     out_.emplace_back(std::move(a));
@@ -202,6 +212,9 @@
   time_point timer_at_{duration::max()};
   duration shift_{};  // of all tags so far
   duration tightest_aim_{duration::max()};
+  shares shares_;
+  std::vector<rate_bucket> rates_;
+  duration share_in_{};  // when whoever was found without a share may have one
   double memory_kb_ = 0;
   double limit_ = 1;
   unsigned calls_out_ = 0;
@@ -329,7 +342,8 @@
 // A slot frees: the smallest finish tag starts, and its tenant's MinS becomes that start tag.
 void policy::impl::dispatch() {
   while (!hold_.empty() && static_cast<double>(running_.size()) < std::min(limit_, crowd()) &&
-         static_cast<double>(running_.size() + calls_wanted_.size() + calls_out_) < crowd()) {
+         static_cast<double>(running_.size() + calls_wanted_.size() + calls_out_) < crowd() &&
+         runs_room() >= 1) {
     request& r = requests_.at(hold_.begin()->second);
     if (!fits_as_run(r)) return;
     tenants_[r.tenant].min_start = r.start_tag - shift_;
@@ -346,7 +360,10 @@
 // caller can still go elsewhere. Over-curve tenants hold the largest tags and so go first.
 void policy::impl::shed_hopeless() {
   const double per_unit = time_per_unit();
-  const double slots = std::min(limit_, crowd());
+  // Without a share of runs nothing that is held will start: it goes at once.
+  while (shares_.runs >= 0 && shares_.runs < 1 && !hold_.empty())
+    turn_away(requests_.at(hold_.begin()->second), false, shares_.more_in);
+  const double slots = std::min({limit_, crowd(), shares_.runs < 0 ? limit_ : std::max(1.0, shares_.runs)});
   double ahead = 0;
   double calls_ahead = static_cast<double>(calls_wanted_.size());
   for (const auto& [start, id] : running_) {
@@ -498,6 +515,8 @@
   }
   if (twin || (draining_ && held.arrived > notice_at_ + set_.drain_grace)) {
     turn_away(held);
+  } else if (!has_share(held)) {
+    turn_away(held, false, share_in_);
   } else if (c.repeats == effect::keyed || (set_.fresh > 0ns && a.key != 0 && !a.write)) {
     keep(held);
   }
@@ -582,6 +601,20 @@
   if (now_ >= window_end_) close_window(t);
 }
 
+void policy::impl::on(const shares& s) {
+  shares_ = s;
+  std::vector<rate_bucket> next;
+  for (const rate_share& r : s.rates) {
+    const auto known = std::find_if(rates_.begin(), rates_.end(), [&](const rate_bucket& b) {
+      return b.of.tenant == r.tenant && b.of.request_class == r.request_class;
+    });
+    next.push_back(known == rates_.end() ? rate_bucket{r, 1, now_} : *known);
+    next.back().of = r;
+    next.back().tokens = std::min(next.back().tokens, std::max(1.0, r.per_second * rate_burst));
+  }
+  rates_ = std::move(next);
+}
+
 // ---- Rates and steering, once a window ------------------------------------------------------------------
 
 // Time of runs on the cores since the last look. A gap in which nothing was heard although a timer was due
@@ -712,6 +745,37 @@
   return set_.memory_kb <= 0 || memory_kb_ + r.held_kb * (set_.run_factor - 1) <= run_margin * set_.memory_kb;
 }
 
+// Runs that may still start under the share: every one that was handed out counts until its end, also at a
+// call, stopped or no longer waited for.
+double policy::impl::runs_room() const {
+  if (shares_.runs < 0) return 1;
+  const auto out = std::count_if(requests_.begin(), requests_.end(),
+                                 [this](const auto& r) { return occupies(r.second.where); });
+  return shares_.runs - static_cast<double>(out);
+}
+
+// Takes from every rate share that the request falls under, or from none. Guards wholes that no server owns:
+// a tenant's rate over the fleet holds only where each server keeps to its part.
+bool policy::impl::has_share(const request& r) {
+  share_in_ = {};
+  std::vector<rate_bucket*> under;
+  for (rate_bucket& b : rates_) {
+    if (b.of.tenant != r.tenant ||
+        (b.of.request_class >= 0 && b.of.request_class != static_cast<int>(r.request_class)))
+      continue;
+    const double most = std::max(1.0, b.of.per_second * rate_burst);
+    b.tokens = std::min(most, b.tokens + b.of.per_second * to_seconds(now_ - b.filled));
+    b.filled = now_;
+    under.push_back(&b);
+    if (b.tokens >= 1) continue;
+    share_in_ = std::max(
+        share_in_, b.of.per_second > 0 ? from_seconds((1 - b.tokens) / b.of.per_second) : shares_.more_in);
+  }
+  if (share_in_ > 0ns) return false;
+  for (rate_bucket* b : under) b->tokens -= 1;
+  return true;
+}
+
 // Guards the memory after each batch: the largest finish tags go first.
 void policy::impl::guard_memory() {
   if (set_.memory_kb <= 0) return;
@@ -880,12 +944,12 @@
 // ---- Answers and book-keeping ---------------------------------------------------------------------------
 
 // Turns away a request that never ran, and frees its key.
-void policy::impl::turn_away(request& r, bool no_use) {
+void policy::impl::turn_away(request& r, bool no_use, duration at_least) {
   refuse a{r.id, 0ns, false};
   if (draining_) {
     a.stay_away = set_.max_retry_after;
   } else {
-    a.stay_away = advice();
+    a.stay_away = std::min(set_.max_retry_after, std::max(advice(), at_least));
     a.not_elsewhere = no_use || overloaded_everywhere() ||
                       r.useful_until <= now_;  // where its aim has gone by: no use elsewhere
   }
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -18,6 +18,7 @@
 #include "catalog/reporter.hpp"
 #include "console/front.hpp"
 #include "fleet/link.hpp"
+#include "fleet/shares.hpp"
 #include "core/dispatcher.hpp"
 #include "dependencies/gatherer.hpp"
 #include "dependencies/writer.hpp"
@@ -149,16 +150,18 @@
  public:
   operators_desk(const config& settings, const dispatcher& table, const telemetry::counters& counters,
                  const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain,
-                 const fleet::link* in_fleet, const std::optional<dependencies::gatherer>& gathers)
+                 const fleet::link* in_fleet, const std::optional<dependencies::gatherer>& gathers,
+                 const std::optional<fleet::shares>& shared)
       : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain), fleet_(in_fleet),
-        gathers_(gathers) {
+        gathers_(gathers),
+        shared_(shared) {
     for (const auto& c : settings.settings.classes) classes_.push_back(c.name);
   }
 
   bool ready() override { return runtime_.up() && !front_.leaving(); }
   std::string figures() override {
     return ops::render_figures(counters_, classes_, desk_.unanswered()) + (fleet_ ? fleet_->show_figures() : "") +
-           (gathers_ ? gathers_->figures() : "");
+           (gathers_ ? gathers_->figures() : "") + (shared_ ? shared_->show_figures() : "");
   }
   std::optional<std::string> members() override {
     return fleet_ ? std::optional<std::string>(fleet_->show_members()) : std::nullopt;
@@ -166,6 +169,9 @@
   std::optional<std::string> zones() override {
     return fleet_ ? std::optional<std::string>(fleet_->show_zones()) : std::nullopt;
   }
+  std::optional<std::string> budgets() override {
+    return shared_ ? std::optional<std::string>(shared_->show_budgets()) : std::nullopt;
+  }
   std::string drain() override {
     if (drain_.drain(net::steady_now())) telemetry::log("console", "drain: health checks answer bad");
     return "draining";
@@ -183,6 +189,7 @@
   ops::drain_state& drain_;
   const fleet::link* fleet_;  // none: in no fleet
   const std::optional<dependencies::gatherer>& gathers_;
+  const std::optional<fleet::shares>& shared_;
   std::vector<std::string> classes_;
 };
 
@@ -232,7 +239,9 @@
   std::optional<uwsgi::client> servers;
   std::optional<dependencies::gatherer> gatherer;
   std::optional<dependencies::writer> writer;
-  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr, gatherer);
+  // Budgets of the fleet: only where the operator's file names one.
+  std::optional<fleet::shares> shared;
+  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr, gatherer, shared);
   std::optional<console::server> console;
   if (settings.console) {
     console.emplace(reactor, bounds, *settings.console, operators, counters);
@@ -250,6 +259,15 @@
     telemetry::log("start", "uwsgi on %s:%u", settings.uwsgi->listen.host.c_str(),
                    static_cast<unsigned>(settings.uwsgi->listen.port));
   }
+  if (settings.budgets) {
+    fleet::calls_user calls;
+    calls.limit = [&gatherer](std::size_t d, double n) { gatherer->set_share(d, n); };
+    calls.use = [&gatherer](std::size_t d) {
+      const auto now = gatherer->calls_at(d);
+      return budgets::use{static_cast<double>(now.in_flight), 1.1 * static_cast<double>(now.in_flight + now.waiting) + 1};
+    };
+    shared.emplace(*fleet, settings, desk, counters, std::move(calls));
+  }
   time_point leave_at = time_point::max();
   handover_file handover(settings);
   std::uint64_t routed_by = ~std::uint64_t{0};  // the fleet's changes that the routes of calls follow already
@@ -309,6 +327,7 @@
       if (gatherer) gatherer->routes_changed(routable);
       if (writer) writer->routes_changed(routable);
     }
+    const time_point shared_due = shared ? shared->step(now) : time_point::max();
     desk.step(now, gauges);
     if (desk.draining()) {
       // With a successor beside it, every connection this one keeps or takes is one the successor does not.
@@ -326,7 +345,7 @@
                   gatherer ? gatherer->step(now) : time_point::max(),
                   writer ? writer->step(now) : time_point::max(),
                   console ? console->step(now) : time_point::max(),
-                  fleet_due, next_lock_try});
+                  fleet_due, shared_due, next_lock_try});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/src/ops/console_line.cpp
+++ b/src/ops/console_line.cpp
@@ -11,6 +11,7 @@
   if (line == "show-stat") return console_call::show_stat;
   if (line == "show-members") return console_call::show_members;
   if (line == "show-zones") return console_call::show_zones;
+  if (line == "show-budgets") return console_call::show_budgets;
   if (line == "drain") return console_call::drain;
   if (line == "resume") return console_call::resume;
   return std::nullopt;
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -56,6 +56,16 @@
   b.left_out = 0;
 }
 
+void audit(const char* format, ...) {
+  const std::lock_guard lock(guard);
+  char text[512];
+  std::va_list arguments;
+  va_start(arguments, format);
+  std::vsnprintf(text, sizeof text, format, arguments);
+  va_end(arguments);
+  std::fprintf(stderr, "audit: %s\n", text);
+}
+
 void print(const counters& c) {
   log("counters",
       "connections=%" PRIu64 " taken_in=%" PRIu64 " sent=%" PRIu64 " served=%" PRIu64 " refused=%" PRIu64
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -11,6 +11,9 @@
 // call from any thread. `word` must be a literal.
 [[gnu::format(printf, 2, 3)]] void log(const char* word, const char* format, ...);
 
+// The same for a log that must be whole, which only tests read: no bound on lines, the word is "audit".
+[[gnu::format(printf, 1, 2)]] void audit(const char* format, ...);
+
 void limit_lines(unsigned each_second);
 
 struct counters {
--- /dev/null
+++ b/tests/budgets/office_test.cpp
@@ -0,0 +1,303 @@
+// Budgets of a whole fleet in one process (ctest -L budgets): clocks that run apart, links that lose, copy,
+// delay and cut, members paused, killed and started anew; an auditor sums what all act on at every step of
+// true time.
+#include "budgets/office.hpp"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <random>
+#include <set>
+#include <string>
+
+#include "../check.hpp"
+
+using namespace marblewharf::budgets;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double drift = 0.05;
+
+// Budget 0: requests a second. Budget 1: runs in flight, which last up to `longest`.
+constexpr duration longest = 800ms;
+
+struct world {
+  explicit world(int n, std::uint64_t seed) : random(seed) {
+    for (int i = 0; i < n; ++i) names.insert(at(i));
+    for (int i = 0; i < n; ++i) {
+      // Some clocks are as fast, some as slow, as the bound allows.
+      rate[i] = i % 3 == 0 ? 1 + drift : i % 3 == 1 ? 1 - drift : 1;
+      offset[i] = std::chrono::seconds(random() % 100000);
+      demand[i] = {0, 0};
+      start(i);
+    }
+  }
+  static std::string at(int i) { return std::string("m") + static_cast<char>('a' + i); }
+  static std::vector<budget> both() { return {{"rate", 90, 1, 1, false}, {"runs", 60, 0, 1, true}}; }
+  static office_options options() {
+    office_options o;
+    o.rules = {1s, drift};
+    o.renew = 200ms;
+    o.soonest = 20ms;
+    o.settle = std::chrono::duration_cast<duration>(longest * 1.2);
+    return o;
+  }
+  duration local(int i) const {
+    return offset.at(i) + std::chrono::duration_cast<duration>(now * rate.at(i));
+  }
+  void start(int i) {
+    members[i] = std::make_unique<office>(options(), both(), names, at(i), ++sessions, local(i));
+    running[i].clear();
+    believed[i].clear();
+  }
+  void kill(int i) {
+    members.erase(i);
+    running[i].clear();  // its runs go with it here; the lease and settle are counted all the same
+  }
+  bool cut_between(int a, int b) const { return cut.contains({a, b}); }
+
+  void tick(double loss = 0, double twice = 0, duration latest = 5ms) {
+    now += 10ms;
+    std::uniform_real_distribution<double> chance(0, 1);
+    for (auto& [i, m] : members) {
+      if (paused.contains(i)) continue;
+      auto& runs = running[i];
+      std::erase_if(runs, [&](duration ends) { return ends <= now; });
+      const double share = m->share(1, local(i));
+      // Starts what its share lets it, as the node does: the look at the clock stands before each start.
+      const double most = std::min(std::floor(share), demand[i][1]);
+      while (static_cast<double>(runs.size()) + 1 <= most)
+        runs.push_back(now + std::chrono::duration_cast<duration>(chance(random) * longest));
+      const std::vector<use> uses = {{0, demand[i][0]}, {static_cast<double>(runs.size()), demand[i][1]}};
+      m->step(local(i), uses, [&](const std::string& other) {
+        const int k = other[1] - 'a';
+        // Known dead a while after it went; the belief may be wrong in any way, safety does not rest on it.
+        if (members.contains(k) && !paused.contains(k) && !cut_between(i, k) && !cut_between(k, i)) {
+          believed[i][k] = now;
+          return true;
+        }
+        return now - believed[i][k] < 500ms;
+      });
+      for (const envelope& e : m->take_outbox()) {
+        const int to = e.to[1] - 'a';
+        if (cut_between(i, to) || chance(random) < loss) continue;
+        for (int copies = chance(random) < twice ? 2 : 1; copies > 0; --copies)
+          in_flight.insert({now + std::chrono::duration_cast<duration>(chance(random) * latest), {to, e.m}});
+      }
+    }
+    while (!in_flight.empty() && in_flight.begin()->first <= now) {
+      const auto [to, m] = in_flight.begin()->second;
+      in_flight.erase(in_flight.begin());
+      if (members.contains(to) && !paused.contains(to)) members.at(to)->receive(local(to), m);
+    }
+    audit();
+  }
+  // At this instant, over all members, also those that are paused: what each would act on if it looked now.
+  void audit() {
+    double sums[2] = {0, 0};
+    int leading = 0;
+    for (const auto& [i, m] : members) {
+      sums[0] += m->share(0, local(i));
+      const auto runs =
+          std::count_if(running[i].begin(), running[i].end(), [&](duration ends) { return ends > now; });
+      sums[1] += std::max(std::floor(m->share(1, local(i))), static_cast<double>(runs));
+      leading += m->leads(local(i));
+    }
+    // The safe shares of members that are not there are theirs all the same.
+    sums[0] += static_cast<double>(names.size() - members.size()) * both()[0].safe;
+    CHECK(leading <= 1);
+    for (std::size_t b = 0; b < 2; ++b) {
+      highest[b] = std::max(highest[b], sums[b]);
+      CHECK(sums[b] <= both()[b].whole + 1e-6);
+    }
+  }
+  void run(duration d, double loss = 0, double twice = 0, duration most = 5ms) {
+    for (const duration until = now + d; now < until;) tick(loss, twice, most);
+  }
+  double share(int i, std::size_t b = 0) const { return members.at(i)->share(b, local(i)); }
+  double sum(std::size_t b = 0) const {
+    double s = 0;
+    for (const auto& [i, m] : members) s += share(i, b);
+    return s;
+  }
+  int leader() const {
+    for (const auto& [i, m] : members)
+      if (m->leads(local(i))) return i;
+    return -1;
+  }
+
+  std::mt19937_64 random;
+  duration now = 1s;
+  std::set<std::string> names;
+  std::map<int, double> rate;
+  std::map<int, duration> offset;
+  std::map<int, std::array<double, 2>> demand;
+  std::map<int, std::unique_ptr<office>> members;
+  std::map<int, std::vector<duration>> running;  // ends of runs, in true time
+  std::map<int, std::map<int, duration>> believed;
+  std::set<std::pair<int, int>> cut;  // one way
+  std::set<int> paused;
+  std::multimap<duration, std::pair<int, message>> in_flight;
+  std::uint64_t sessions = 0;
+  double highest[2] = {0, 0};
+};
+
+void random_schedules() {
+  CHECK(rc::check("what all act on never adds up to more than the whole", [] {
+    const int n = *rc::gen::inRange(2, 8);
+    world w(n, *rc::gen::arbitrary<std::uint64_t>());
+    const int steps = *rc::gen::inRange(10, 60);
+    for (int s = 0; s < steps; ++s) {
+      const int who = *rc::gen::inRange(0, n);
+      switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+          for (int k = 0; k < n; ++k)
+            if (*rc::gen::inRange(0, 2) == 0) w.cut.insert({who, k});  // one way
+          break;
+        case 1: w.cut.clear(); break;
+        case 2: w.paused.insert(who); break;
+        case 3: w.paused.erase(who); break;
+        case 4:
+          if (!w.paused.contains(who)) w.kill(who);
+          break;
+        case 5:
+          if (!w.members.contains(who)) w.start(who);
+          break;
+        default:
+          w.demand[who] = {static_cast<double>(*rc::gen::inRange(0, 200)),
+                           static_cast<double>(*rc::gen::inRange(0, 100))};
+      }
+      const double loss = *rc::gen::inRange(0, 40) / 100.0;
+      const auto most = std::chrono::milliseconds(*rc::gen::inRange(1, 600));
+      w.run(std::chrono::milliseconds(*rc::gen::inRange(10, 900)), loss, 0.1, most);
+    }
+    // Quiet, and all want more than there is: the fleet uses the whole less its reserve.
+    w.cut.clear();
+    w.paused.clear();
+    for (int i = 0; i < n; ++i) {
+      if (!w.members.contains(i)) w.start(i);
+      w.demand[i] = {500, 500};
+    }
+    w.run(12s);
+    RC_ASSERT(w.sum(0) >= 0.9 * 90);
+    RC_ASSERT(w.sum(1) >= 0.9 * 60);
+  }));
+}
+
+void fair_shares() {
+  CHECK(rc::check(
+      "max-min: within the pool, nobody over its demand, nobody could have more but from one with no more",
+      [] {
+        const auto n = static_cast<std::size_t>(*rc::gen::inRange(1, 12));
+        std::vector<double> demands, weights;
+        double wanted = 0;
+        for (std::size_t i = 0; i < n; ++i) {
+          demands.push_back(*rc::gen::inRange(0, 100));
+          weights.push_back(*rc::gen::inRange(1, 5));
+          wanted += demands.back();
+        }
+        const double pool = *rc::gen::inRange(0, 400);
+        const std::vector<double> got = max_min(pool, demands, weights);
+        const double sum = std::accumulate(got.begin(), got.end(), 0.0);
+        RC_ASSERT(std::fabs(sum - std::min(pool, wanted)) < 1e-6);
+        for (std::size_t i = 0; i < n; ++i) {
+          RC_ASSERT(got[i] <= demands[i] + 1e-9);
+          if (got[i] + 1e-6 >= demands[i]) continue;
+          for (std::size_t k = 0; k < n; ++k) RC_ASSERT(got[k] / weights[k] <= got[i] / weights[i] + 1e-6);
+        }
+      }));
+}
+
+// All idle but one: its share grows within a few of its rounds to nearly the whole; when the others wake, it
+// is divided.
+void burst() {
+  world w(9, 5);
+  for (int i = 0; i < 9; ++i) w.demand[i] = {5, 5};
+  w.run(6s);
+  CHECK(w.leader() >= 0);
+  w.demand[4] = {300, 300};
+  w.run(400ms);  // two rounds
+  CHECK(w.share(4) > 20);
+  for (int i = 0; i < 9; ++i) w.demand[i] = {300, 300};
+  w.run(2s);
+  for (int i = 0; i < 9; ++i) CHECK(w.share(i) > 9 && w.share(i) < 11);
+}
+
+// The one that allocates dies: shares in force go on being renewed by the next one, and the sum stays.
+void allocator_lost() {
+  world w(9, 6);
+  for (int i = 0; i < 9; ++i) w.demand[i] = {300, 300};
+  w.run(8s);
+  const int first = w.leader();
+  CHECK(first == 0);
+  w.kill(0);
+  double least = 1e9;
+  for (int i = 0; i < 100 && w.leader() != 1; ++i) {
+    w.run(50ms);
+    least = std::min(least, w.share(8));
+  }
+  CHECK(w.leader() == 1);
+  w.run(4s);
+  CHECK(w.share(8) > 10 && w.sum() > 0.85 * 90);
+}
+
+// Cut from half of the fleet: the side with a majority has the shares, the other falls to its safe ones.
+void cut_in_two() {
+  world w(9, 7);
+  for (int i = 0; i < 9; ++i) w.demand[i] = {300, 300};
+  w.run(8s);
+  for (int a = 0; a < 4; ++a)
+    for (int b = 4; b < 9; ++b) w.cut.insert({a, b}), w.cut.insert({b, a});
+  w.run(8s);
+  for (int i = 0; i < 4; ++i) CHECK(w.share(i) == 1);
+  for (int i = 4; i < 9; ++i) CHECK(w.share(i) > 14);
+  w.cut.clear();
+  w.run(6s);
+  for (int i = 0; i < 9; ++i) CHECK(w.share(i) > 9);
+}
+
+// Paused past its lease and resumed: not one instant on the old share.
+void paused() {
+  world w(3, 8);
+  for (int i = 0; i < 3; ++i) w.demand[i] = {300, 300};
+  w.run(6s);
+  CHECK(w.share(2) > 25);
+  w.paused.insert(2);
+  w.run(5s);
+  CHECK(w.share(2) == 1 &&
+        w.share(1) > 40);  // the others have it, and whoever looks at its clock first knows
+  w.paused.erase(2);
+  w.run(3s);
+  CHECK(w.share(2) > 25);
+}
+
+// Nodes whose files have other wholes get nothing from each other.
+void other_budgets() {
+  world w(3, 9);
+  for (int i = 0; i < 3; ++i) w.demand[i] = {300, 300};
+  auto larger = world::both();
+  larger[0].whole = 900;
+  w.members[2] = std::make_unique<office>(world::options(), larger, w.names, world::at(2), 99, w.local(2));
+  w.run(8s);
+  CHECK(w.share(2) == 1 && w.share(1) > 30);
+  CHECK(w.members.at(w.leader())->mismatched() > 0);
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {
+      {"random", random_schedules},       {"fair", fair_shares},      {"burst", burst},
+      {"allocator_lost", allocator_lost}, {"cut_in_two", cut_in_two}, {"paused", paused},
+      {"other_budgets", other_budgets}};
+  tests.at(argv[1])();
+  std::printf("%s passed\n", argv[1]);
+  return 0;
+}
--- a/tests/fleet/fleet.hpp
+++ b/tests/fleet/fleet.hpp
@@ -85,19 +85,29 @@
   // Starts node i, or starts it again with the same addresses.
   void start(int i) {
     one& m = *members_[static_cast<std::size_t>(i)];
+    const std::lock_guard lock(m.guard);
     m.n.reset();
     node_options o;
+    o.quota = o.other_quota = 100000;
     o.operators = operators(i);
     o.edit_from = "\"seed\"";
     o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(m.console) + "\",\"seed\"";
     if (options_.edit) options_.edit(i, o);
     m.n = std::make_unique<node>(m.r, o);
     m.r.up();
+    m.port = m.n->port;
   }
   void kill(int i) {
+    const std::lock_guard lock(guard(i));
+    members_[static_cast<std::size_t>(i)]->port = 0;
     at(i).signal(SIGKILL);
     at(i).wait();
   }
+  // Held while a node starts or is killed: whoever plays its runtime beside the test holds it too.
+  std::mutex& guard(int i) const { return members_[static_cast<std::size_t>(i)]->guard; }
+  // Where its clients connect; 0: it is not there.
+  int port(int i) const { return members_[static_cast<std::size_t>(i)]->port; }
+  bool running(int i) const { return port(i) != 0; }
   node& at(int i) { return *members_[static_cast<std::size_t>(i)]->n; }
   runtime& runtime_of(int i) { return members_[static_cast<std::size_t>(i)]->r; }
   int udp(int i) const { return udp_[static_cast<std::size_t>(i)]; }
@@ -160,6 +170,8 @@
     runtime r;
     int console = free_port();
     std::unique_ptr<node> n;
+    std::atomic<int> port = 0;
+    mutable std::mutex guard;
   };
 
   std::string operators(int i) const {
--- /dev/null
+++ b/tests/net/budgets_test.cpp
@@ -0,0 +1,152 @@
+// Wholes divided among nine price nodes on loopback, with faults between the processes; an auditor sums what
+// their logs say was in force at every instant (ctest -L budgets).
+#include <map>
+
+#include "../fleet/audit.hpp"
+
+using namespace harness;
+using namespace fleet_faults;
+
+namespace {
+
+// The allocator killed in the middle of its rounds: the next one goes on; then the first comes back.
+void allocator_killed() {
+  shared_fleet s;
+  s.all_want(400);
+  s.settled(everyone());
+  const int first = s.leader(), other = (first + 1) % 9;
+  s.kill(first);
+  s.f->wait([&] { return s.leader() >= 0 && s.leader() != first; }, other);
+  s.settled(without({first}));
+  s.f->start(first);
+  s.settled(everyone());
+  s.audit();
+}
+
+// The allocator cut off from half of the fleet, in the half without a majority: that half falls to its safe
+// share, the other takes over; healed, all have their part again.
+void allocator_cut_off() {
+  shared_fleet s;
+  s.all_want(400);
+  s.settled(everyone());
+  const int first = s.leader();
+  const std::set<int> side = {first, (first + 1) % 9, (first + 2) % 9, (first + 3) % 9};
+  s.cut(side);
+  for (const int i : side) s.f->wait([&] { return s.share(i) == 1; }, i);
+  for (const int i : without(side)) s.f->wait([&] { return s.share(i) > 14; }, i);
+  s.f->relay->heal();
+  s.settled(everyone());
+  s.audit();
+}
+
+// Paused past its lease and resumed: it acts on the safe share at once, and not an instant on the old one.
+void paused() {
+  shared_fleet s;
+  s.all_want(400);
+  s.settled(everyone());
+  s.f->at(7).signal(SIGSTOP);
+  s.f->wait([&] { return s.share(8) > 10.2; }, 8);  // the others have its part
+  s.f->at(7).signal(SIGCONT);
+  s.settled(everyone());
+  s.audit();
+}
+
+// Three clocks as fast as the bound allows, three as slow, shares moving all the time.
+void clocks_apart() {
+  shared_fleet s({.drift = 0.05, .rate = [](int i) { return i % 3 == 0 ? 1.05 : i % 3 == 1 ? 0.95 : 1.0; }});
+  for (int round = 0; round < 6; ++round) {
+    for (int i = 0; i < 9; ++i) s.want(i, (i + round) % 3 == 0 ? 400 : 1);
+    if (round == 2) s.kill(0);  // whoever leads or not, here it is one with a fast clock
+    if (round == 3) s.f->start(0);
+    if (round == 4) s.f->at(5).signal(SIGSTOP);
+    if (round == 5) s.f->at(5).signal(SIGCONT);
+    std::this_thread::sleep_for(1500ms);
+  }
+  s.all_want(400);
+  s.settled(everyone());
+  s.audit();
+}
+
+// Nine nodes join at once: none knows the others, each asks for far more than its part.
+void all_join() {
+  shared_fleet s;
+  s.all_want(400);
+  s.settled(everyone());
+  s.audit();
+}
+
+// Half of the fleet leaves at once: five are still a majority, and have all of the whole but the safe shares
+// after a while.
+void half_leaves() {
+  shared_fleet s;
+  s.all_want(400);
+  s.settled(everyone());
+  for (const int i : {1, 3, 5, 7}) s.kill(i);
+  s.f->wait([&] { return s.share(0) > 14 && s.share(8) > 14; }, 0);
+  s.audit();
+}
+
+// A burst on one node while the others idle: its share grows to nearly the whole within a few renewals; when
+// the others wake it is divided.
+void burst() {
+  shared_fleet s;
+  s.f->wait([&] { return s.leader() >= 0 && s.lease_stands(4); }, 0);
+  s.want(4, 400);
+  s.f->wait([&] { return s.share(4) > 55; }, 4);
+  s.all_want(400);
+  s.settled(everyone());
+  s.audit();
+}
+
+// Far more is wanted on every node than there is: what is in force is nearly the whole, the rest is refused
+// at once with the time to come back.
+void far_above() {
+  shared_fleet s;
+  s.all_want(900);
+  s.settled(everyone());
+  CHECK(s.sum() >= 0.9 * shared_fleet::whole);
+  CHECK(s.refused(2) > 0 && s.latest_refusal_ms() < 1000);
+  s.audit();
+}
+
+void faults_name_file_line_and_key() {
+  const auto status = [](const std::string& text) {
+    runtime r;
+    node_options o;
+    o.operators = text;
+    node n(r, o);
+    const int ended = n.wait();
+    return std::to_string(ended) + " " + n.log();
+  };
+  CHECK(status("budget a {\n unit = runs\n whole = 4\n}\n")
+            .find(":4: budget \"a\" is set, and fleet is missing") != std::string::npos);
+  CHECK(status("budgets {\n lease = 2s\n}\n").find(":3: budgets is set, and no budget is named") !=
+        std::string::npos);
+  const std::string fleet =
+      "fleet {\n name = k\n listen = \"127.0.0.1:7946\"\n zone = z\n seeds = {\"127.0.0.1:7946\"}\n}\n"
+      "zone z {\n region = r\n members = {\"127.0.0.1:7946\", \"127.0.0.1:7947\"}\n}\n";
+  CHECK(status(fleet + "budget a {\n unit = runs\n whole = 4\n safe = 3\n}\n")
+            .find(":14: budget \"a\".safe of 2 members is more than the whole: \"3\"") != std::string::npos);
+  CHECK(status(fleet + "budget a {\n unit = requests\n whole = 4\n tenant = nobody\n}\n")
+            .find(":14: budget \"a\".tenant names nothing in the settings: \"nobody\"") != std::string::npos);
+  CHECK(status(fleet + "budget a {\n unit = runs\n whole = 4\n tenant = isar-invest\n}\n")
+            .find(":14: budget \"a\".tenant goes with unit = requests") != std::string::npos);
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  std::printf("seed %llu\n", static_cast<unsigned long long>(seed()));
+  const std::map<std::string, void (*)()> tests = {{"allocator_killed", allocator_killed},
+                                                   {"allocator_cut_off", allocator_cut_off},
+                                                   {"paused", paused},
+                                                   {"clocks_apart", clocks_apart},
+                                                   {"all_join", all_join},
+                                                   {"half_leaves", half_leaves},
+                                                   {"burst", burst},
+                                                   {"far_above", far_above},
+                                                   {"faults", faults_name_file_line_and_key}};
+  tests.at(argv[1])();
+  std::printf("%s passed\n", argv[1]);
+  return 0;
+}
--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -119,7 +119,7 @@
 
 // The examples under deploy/ are files that a node starts with.
 void examples() {
-  for (const char* name : {"marblewharf.conf", "marblewharf-keyed.conf", "marblewharf-dependencies.conf"}) {
+  for (const char* name : {"marblewharf.conf", "marblewharf-keyed.conf", "marblewharf-dependencies.conf", "marblewharf-fleet.conf"}) {
     config c = platform();
     for (const char* more : {"kurs-liste", "kurs-auftrag"}) {
       c.settings.classes.push_back(c.settings.classes[0]);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -23,6 +23,46 @@
   EXPECT_THROW(policy(s, 1, 0ns), std::invalid_argument);
 }
 
+TEST(Shares, BoundRunsThatWereHandedOut) {
+  settings s = plain_settings();
+  s.cores = 4;
+  rig r(s);
+  r.send({shares{2, {}, 500ms}, request_of(1), request_of(2), request_of(3)});
+  EXPECT_EQ(r.ids<start>(), (ids{1, 2}));
+  r.at(10ms, {departure{1}});  // nobody waits for it, and it still runs
+  EXPECT_TRUE(r.ids<start>().empty());
+  r.at(20ms, {done(1)});
+  EXPECT_EQ(r.ids<start>(), (ids{3}));
+}
+
+TEST(Shares, NoneOfRunsRefusesAtOnceAndTellsWhen) {
+  rig r(plain_settings());
+  r.send({request_of(1), request_of(2), request_of(3), request_of(4)});
+  r.at(10ms, {shares{0, {}, 500ms}, request_of(5)});
+  EXPECT_EQ(r.ids<refuse>(), (ids{3, 4, 5}));  // what was held as well; what runs goes on
+  for (const refuse& f : r.all<refuse>()) EXPECT_GE(f.stay_away, 500ms);
+  r.at(20ms, {done(1), done(2), request_of(6)});
+  EXPECT_EQ(r.ids<refuse>(), (ids{6}));
+  r.at(30ms, {shares{}, request_of(7)});
+  EXPECT_EQ(r.ids<start>(), (ids{7}));
+}
+
+TEST(Shares, ARateIsABucketByTenantAndClass) {
+  settings s = plain_settings();
+  s.tenants = {{"a", 0}, {"b", 0}};
+  rig r(s);
+  r.send({shares{-1, {{0, -1, 10}}, 500ms}, request_of(1, 0), request_of(2, 0), request_of(3, 1), request_of(4, 1)});
+  EXPECT_EQ(r.ids<refuse>(), (ids{2}));  // one at once, and the other tenant is not bound
+  EXPECT_GE(r.all<refuse>()[0].stay_away, 100ms);
+  r.at(90ms, {done(1), request_of(5, 0)});
+  EXPECT_EQ(r.ids<refuse>(), (ids{5}));
+  r.at(110ms, {request_of(6, 0)});
+  EXPECT_TRUE(r.ids<refuse>().empty());
+  r.at(1110ms, {shares{-1, {{0, -1, 0}}, 500ms}, request_of(7, 0), request_of(8, 0)});
+  EXPECT_TRUE(r.has<refuse>(7) && r.has<refuse>(8));  // no share: what the rate before would have saved up is gone too
+  EXPECT_GE(r.all<refuse>()[0].stay_away, 500ms);
+}
+
 TEST(Limit, StartsAtTheCoreCount) {
   rig r(plain_settings());
   r.send({request_of(1), request_of(2), request_of(3)});
