--- a/tests/dependencies/decisions_test.cpp
+++ b/tests/dependencies/decisions_test.cpp
@@ -235,6 +235,31 @@
   return r;
 }
 
+// A share of a fleet's calls bounds those in flight beside the limit that adapts; without a share nothing waits for one:
+// what stands in does so at once, and calls go again when there is a share.
+void a_share_bounds_calls() {
+  world w({four_parts()}, four_rules(), 11);
+  w.behave = [](const start_call&) { return std::pair<duration, call_end>{40ms, call_end::good}; };
+  w.c.set_share(1, 3.7);
+  unsigned most = 0;
+  for (gathering_id id = 1; id <= 60; ++id) {
+    w.begin(id, 2900ms);
+    w.run_until(w.now + 3ms);
+    most = std::max(most, w.c.in_flight(1));
+  }
+  CHECK(most == 3 && w.c.in_flight(0) > 3);  // whole calls, and only of that dependency
+  w.run_until(w.now + 5s);
+  w.c.set_share(1, 0.5);
+  w.begin(100, 2900ms);
+  w.run_until(w.now + 100ms);
+  CHECK(w.done.contains(100) && w.took.at(100) <= 50ms);
+  CHECK(w.done.at(100).parts[1].how == part_is::missing && w.done.at(100).parts[0].how == part_is::fresh);
+  w.c.set_share(1, 2);
+  w.begin(101, 2900ms);
+  w.run_until(w.now + 100ms);
+  CHECK(w.done.at(101).complete);
+}
+
 // Whatever the dependencies do: one end for each, in time, all else cancelled, shares kept.
 void every_gathering_ends() {
   holds("one end for each gathering, in time", [] {
@@ -472,6 +497,7 @@
                                                    {"eightfold", one_slows_eightfold},
                                                    {"stand_ins", what_stands_in},
                                                    {"near", calls_stay_near},
+                                                   {"fleet_share", a_share_bounds_calls},
                                                    {"near_properties", nearness_holds},
                                                    {"plans", plans_that_could_not_be_kept}};
   tests.at(argv[1])();
