Test calls in flight of nine nodes at one source under a fleet's budget

Need: of the three units calls at a dependency had no test with several processes.

Change: budgets_fleet.calls_in_flight: nine nodes gather from one stand-in, 135 callers want three times the whole; the allocator is killed and started anew, a node paused past its lease; the stand-in counts what is open at one instant.

--- a/tests/net/budgets_test.cpp
+++ b/tests/net/budgets_test.cpp
@@ -3,6 +3,9 @@
 #include <map>
 
 #include "../fleet/audit.hpp"
+#include "../peers/frail.hpp"
+#include "../peers/uwsgi_server.hpp"
+#include "uwsgi_peer.hpp"
 
 using namespace harness;
 using namespace fleet_faults;
@@ -39,8 +42,8 @@
   s.audit();
 }
 
-// Paused past its lease and resumed: it acts on the safe share at once, and not an instant on the old one. It is cut off
-// while it wakes, so that no renewal hides what it goes by.
+// Paused past its lease and resumed: it acts on the safe share at once, and not an instant on the old one. It
+// is cut off while it wakes, so that no renewal hides what it goes by.
 void paused() {
   shared_fleet s;
   s.all_want(400);
@@ -143,6 +146,77 @@
   s.audit();
 }
 
+// The whole is of calls in flight at a dependency that all nine nodes gather from: the stand-in counts what
+// is open at one instant, while the allocator is killed and started anew and a node is paused; far more is
+// wanted all the time.
+void calls_in_flight() {
+  constexpr int most = 45, each = 15;
+  peers::uwsgi_server source([](const peers::uwsgi_request&) {
+    return peers::reaction{80ms, peers::manner::whole, "101.42"};
+  });
+  std::vector<int> ports;
+  for (int i = 0; i < 9; ++i) ports.push_back(free_port());
+  fleet_options o;
+  o.operators = [&](int i) {
+    std::ostringstream t;
+    t << "uwsgi {\n listen = \"" << own_host() << ":" << ports[static_cast<std::size_t>(i)]
+      << "\"\n servers = {\"" << source.address()
+      << "\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\n"
+      << "dependency kurse {\n endpoints = {\"" << source.address()
+      << "\"}\n budget = 2s\n hedge_quantile = 0\n}\n"
+      << "class kurs-abfrage {\n uwsgi_values = {\"/kurs/liste\"}\n}\n"
+      << "part kurse {\n class = kurs-abfrage\n from = kurse\n}\n"
+      << "budgets {\n lease = 1s\n renew = 200ms\n settle = 300ms\n}\n"
+      << "budget kurse {\n unit = calls\n dependency = kurse\n whole = " << most << "\n}\n";
+    return t.str();
+  };
+  o.edit = [](int, node_options& n) { n.cores = 128; };
+  fleet f(o);
+  std::atomic<bool> over = false;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 9 * each; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string ask = uwsgi_peer::packet({{"PATH_INFO", "/kurs/liste"},
+                                                  {"REMOTE_USER", "isar-invest"},
+                                                  {"QUERY_STRING", std::to_string(i)},
+                                                  {"CONTENT_LENGTH", "2"}},
+                                                 "in");
+      while (!over) {
+        std::this_thread::sleep_for(5ms);
+        if (!f.running(i % 9)) continue;
+        peers::frail c(ports[static_cast<std::size_t>(i % 9)]);
+        c.send(ask);
+        std::string in;
+        while (!over && c.more(in, 3000)) {
+        }
+      }
+    });
+  }
+  f.whole();
+  const auto leader = [&] {
+    for (int i = 0; i < 9; ++i)
+      if (figure(f.console(i), "budgets.leads") == 1) return i;
+    return -1;
+  };
+  f.wait([&] { return source.most_open > 0.7 * most; }, 0);
+  const int first = leader();
+  CHECK(first >= 0);
+  f.kill(first);
+  std::this_thread::sleep_for(3s);
+  f.start(first);
+  f.whole();
+  f.at(4).signal(SIGSTOP);
+  std::this_thread::sleep_for(2500ms);
+  f.at(4).signal(SIGCONT);
+  f.whole();
+  std::this_thread::sleep_for(2s);
+  over = true;
+  for (std::thread& t : callers) t.join();
+  std::printf("most calls open at one instant: %d of %d, %d in all\n", source.most_open.load(), most,
+              source.requests.load());
+  CHECK(source.most_open <= most);
+}
+
 void faults_name_file_line_and_key() {
   const auto status = [](const std::string& text) {
     runtime r;
@@ -180,6 +254,7 @@
                                                    {"burst", burst},
                                                    {"far_above", far_above},
                                                    {"runs_in_flight", runs_in_flight},
+                                                   {"calls_in_flight", calls_in_flight},
                                                    {"faults", faults_name_file_line_and_key}};
   tests.at(argv[1])();
   std::printf("%s passed\n", argv[1]);
