Test the holder's stale answers and the voter's silence each on its own

Change: office_test stale_answers and voter. Tried without the code: the answer's number, the silence after a start, the promise that stands and the yielding to the one that leads, each fails its test at the line that proves it.

--- a/tests/budgets/office_test.cpp
+++ b/tests/budgets/office_test.cpp
@@ -325,6 +325,46 @@
   random_schedules();
 }
 
+// Answers to any request but the latest change nothing, nor does a second one to that, nor one to another
+// process's.
+void stale_answers() {
+  holder h({.rules = {1s, drift}, .renew = 200ms}, {{"rate", 90, 1, 1, false}}, "m", 5, 7);
+  const std::vector<use> wants = {{0, 300}};
+  const auto grant = [](std::uint64_t sequence, double held, std::uint64_t session = 5) {
+    return message{kind::grant, "l", 1, sequence, session, 7, {{held, 0}}};
+  };
+  h.step(10s, "l", wants);
+  h.step(10300ms, "l", wants);
+  const std::vector<envelope> asked = h.take_outbox();
+  CHECK(asked.size() == 2 && asked[0].m.sequence == 1 && asked[1].m.sequence == 2);
+  h.receive(10350ms, grant(1, 50));
+  h.receive(10350ms, grant(2, 50, 4));
+  CHECK(h.share(0, 10350ms) == 1);
+  h.receive(10400ms, grant(2, 10));
+  h.receive(10450ms, grant(2, 50));
+  CHECK(h.share(0, 10450ms) == 11);
+  CHECK(h.share(0, 11299ms) == 11 && h.share(0, 11300ms) == 1);  // one lease from when it was asked for
+}
+
+// A voter that just started does not know what it promised before: it keeps still for as long as that may
+// have stood. Then it promises one candidate at a time, and yields to the one that leads.
+void voter() {
+  const lease_rules rules{1s, drift};
+  chair v(rules, {"a", "b", "v"}, "v", 0, 10s);
+  const auto answer = [&](time_point at, const std::string& from, bool leading = false) {
+    v.receive(at, message{kind::ask, from, 1, 1, 0, 0, {}, leading});
+    return v.take_outbox().at(0).m.what;
+  };
+  CHECK(answer(10s, "a") == kind::refusal);
+  CHECK(answer(10s + surely_over(rules) - 1ms, "a") == kind::refusal);
+  CHECK(answer(10s + surely_over(rules), "a") == kind::promise);
+  CHECK(answer(11500ms, "b") == kind::refusal);
+  CHECK(answer(11600ms, "a") == kind::promise);        // renewed
+  CHECK(answer(11700ms, "b", true) == kind::refusal);  // it leads by others' promises, and this one stands
+  CHECK(answer(12600ms, "a") == kind::refusal);        // not renewed: another leads
+  CHECK(answer(11600ms + surely_over(rules), "b", true) == kind::promise);
+}
+
 // Nodes whose files have other wholes get nothing from each other.
 void other_budgets() {
   world w(3, 9);
@@ -340,11 +380,18 @@
 }  // namespace
 
 int main(int, char** argv) {
-  const std::map<std::string, void (*)()> tests = {
-      {"random", random_schedules},           {"fair", fair_shares},          {"burst", burst},
-      {"allocator_lost", allocator_lost},     {"cut_in_two", cut_in_two},     {"expiry", expiry},
-      {"chair_goes_round", chair_goes_round}, {"random_rates", random_rates}, {"paused", paused},
-      {"other_budgets", other_budgets}};
+  const std::map<std::string, void (*)()> tests = {{"random", random_schedules},
+                                                   {"fair", fair_shares},
+                                                   {"burst", burst},
+                                                   {"allocator_lost", allocator_lost},
+                                                   {"cut_in_two", cut_in_two},
+                                                   {"expiry", expiry},
+                                                   {"chair_goes_round", chair_goes_round},
+                                                   {"random_rates", random_rates},
+                                                   {"stale_answers", stale_answers},
+                                                   {"voter", voter},
+                                                   {"paused", paused},
+                                                   {"other_budgets", other_budgets}};
   tests.at(argv[1])();
   std::printf("%s passed\n", argv[1]);
   return 0;
