Renew only what stands under a lease; hand out each test port once

Cause: budgets_fleet.runs_in_flight's auditor saw 93.95 of 90 once: a node paused past its lease wakes with runs it has not read the ends of, reports them as held, and allocator::receive (src/budgets/allocator.cpp, given = min(wanted, held)) granted them as a share though others had it by then.

Change: a request tells which part of what is held stands under a lease; only that is renewed without room, the rest counts and is no claim (office_test overhang). The tests' harness keeps ports handed out from other listeners.

--- a/src/budgets/allocator.cpp
+++ b/src/budgets/allocator.cpp
@@ -101,12 +101,15 @@
   }
   for (std::size_t i = 0; i < count; ++i) {
     const double wanted = target(i, who, now);
-    double given = std::min(wanted, n.held[i]);
-    if (wanted > n.held[i] && now >= known_from_) {
+    // What stands under a lease is in force, so renewing it adds nothing. What is only in flight still, over
+    // a lease that ended, may have been given to others since: it counts, and is no claim.
+    const double leased = std::clamp(m.entries[i].leased, 0.0, n.held[i]);
+    double given = std::min(wanted, leased);
+    if (wanted > leased && now >= known_from_) {
       // Not known before: what the allocator before this one granted to those that have not asked yet.
       const bool joins = fresh && n.held[i] <= least_step;
-      const double room = (joins ? pool(i) : divided(i)) - committed(i, now);
-      given = std::min(wanted, n.held[i] + std::max(0.0, room));
+      const double room = (joins ? pool(i) : divided(i)) - (committed(i, now) - n.committed[i]);
+      given = std::min(wanted, std::max(leased, room));
     }
     n.granted[i] = given;
     n.committed[i] = std::max(n.held[i], given);
--- a/src/budgets/holder.cpp
+++ b/src/budgets/holder.cpp
@@ -39,7 +39,8 @@
     const double leased = now < until_ ? leased_[i] : 0;
     // What is in flight over the share is in force all the same.
     const double over = budgets_[i].in_flight ? uses[i].in_force - budgets_[i].safe : 0;
-    m.entries.push_back({std::max({leased, over, 0.0}), std::max(0.0, uses[i].demand - budgets_[i].safe)});
+    m.entries.push_back(
+        {std::max({leased, over, 0.0}), std::max(0.0, uses[i].demand - budgets_[i].safe), leased});
   }
   outbox_.push_back({*leader, std::move(m)});
   return std::min(next_, now + options_.soonest);
--- a/src/budgets/message.hpp
+++ b/src/budgets/message.hpp
@@ -21,6 +21,7 @@
 struct entry {
   double held = 0;    // in force at the sender (request); from now on (grant)
   double demand = 0;  // what it could use (request)
+  double leased = 0;  // of what is held, under a lease that stands; the rest is in flight over it (request)
   bool operator==(const entry&) const = default;
 };
 
--- a/src/budgets/wire.cpp
+++ b/src/budgets/wire.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 struct wire_entry {
-  double held = 0, demand = 0;
-  MSGPACK_DEFINE(held, demand)
+  double held = 0, demand = 0, leased = 0;
+  MSGPACK_DEFINE(held, demand, leased)
 };
 
 struct wire_message {
@@ -48,7 +48,7 @@
   wire_message w{
       fleet, wire_version, static_cast<std::uint8_t>(m.what), m.from, m.term, m.sequence, m.session, m.digest,
       {},    m.leading};
-  for (const entry& e : m.entries) w.entries.push_back({e.held, e.demand});
+  for (const entry& e : m.entries) w.entries.push_back({e.held, e.demand, e.leased});
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, w);
   return {buffer.data(), buffer.size()};
@@ -73,9 +73,10 @@
     message m{static_cast<kind>(w.what), w.from, w.term, w.sequence, w.session, w.digest, {}, w.leading};
     for (const wire_entry& e : w.entries) {
       // Guards the books: no number that is none, and no share below zero that would make room for others.
-      if (!std::isfinite(e.held) || !std::isfinite(e.demand) || e.held < 0 || e.demand < 0)
+      if (!std::isfinite(e.held) || !std::isfinite(e.demand) || e.held < 0 || e.demand < 0 ||
+          !(e.leased >= 0) || e.leased > e.held)
         return {std::nullopt, wire_fault::undecodable};
-      m.entries.push_back({e.held, e.demand});
+      m.entries.push_back({e.held, e.demand, e.leased});
     }
     return {std::move(m), wire_fault::none};
   } catch (const std::exception&) {
--- a/tests/budgets/office_test.cpp
+++ b/tests/budgets/office_test.cpp
@@ -365,6 +365,19 @@
   CHECK(answer(11600ms + surely_over(rules), "b", true) == kind::promise);
 }
 
+// What is in flight over a lease that ended counts, and is no claim: others may have its share by now.
+void overhang() {
+  allocator a({.rules = {1s, drift}, .reserve = 0, .settle = 0s, .members = 2}, {{"runs", 10, 0, 1, true}}, 7,
+              "l", 1, 0s);
+  const auto given = [&](const std::string& from, entry e) {
+    a.receive(10s, message{kind::request, from, 0, 1, 1, 7, {e}});
+    return a.take_outbox().at(0).m.entries.at(0).held;
+  };
+  CHECK(given("x", {0, 100, 0}) == 10);
+  CHECK(given("y", {8, 100, 0}) == 0);
+  CHECK(a.committed(0, 10s) == 18);  // both count until the next asks
+}
+
 // Nodes whose files have other wholes get nothing from each other.
 void other_budgets() {
   world w(3, 9);
@@ -389,6 +402,7 @@
                                                    {"chair_goes_round", chair_goes_round},
                                                    {"random_rates", random_rates},
                                                    {"stale_answers", stale_answers},
+                                                   {"overhang", overhang},
                                                    {"voter", voter},
                                                    {"paused", paused},
                                                    {"other_budgets", other_budgets}};
--- a/tests/budgets/wire_test.cpp
+++ b/tests/budgets/wire_test.cpp
@@ -14,7 +14,7 @@
 
 message sample() {
   return {kind::request,      "127.0.0.1:7946",     17,  42, 1'764'576'000'123,
-          0xfeedfacecafebeef, {{12.5, 40}, {0, 3}}, true};
+          0xfeedfacecafebeef, {{12.5, 40, 7}, {0, 3, 0}}, true};
 }
 
 }  // namespace
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -17,6 +17,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -126,14 +128,27 @@
   std::string in_;
 };
 
+// Ports that were handed out for later: nothing else of this process may take one before its node binds it.
+inline bool take_port(int port, bool keep) {
+  static std::mutex guard;
+  static std::set<int> kept;
+  const std::lock_guard lock(guard);
+  return keep ? kept.insert(port).second : !kept.contains(port);
+}
+
 class listener {
  public:
-  listener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in a = address_of(0);
-    CHECK(::bind(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0 && ::listen(fd_, 64) == 0);
-    socklen_t size = sizeof a;
-    CHECK(::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
-    port = ntohs(a.sin_port);
+  // `keep`: the port is for another to bind later.
+  explicit listener(bool keep = false) {
+    do {
+      close();
+      fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      sockaddr_in a = address_of(0);
+      CHECK(::bind(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0 && ::listen(fd_, 64) == 0);
+      socklen_t size = sizeof a;
+      CHECK(::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0);
+      port = ntohs(a.sin_port);
+    } while (!take_port(port, keep));
   }
   ~listener() { close(); }
   void close() {
@@ -151,11 +166,11 @@
   int port = 0;
 
  private:
-  int fd_;
+  int fd_ = -1;
 };
 
 inline int free_port() {
-  return listener().port;
+  return listener(true).port;
 }
 
 // The member of that name in one line of JSON, as text: enough for the lines that the program writes.
