--- a/bench/budgets_bench.cpp
+++ b/bench/budgets_bench.cpp
@@ -72,7 +72,7 @@
   s.f->wait([&] { return s.share(4) > 10.2; }, 4);
   s.f->start(5);
   s.f->wait([&] { return s.f->alive_seen_by(5) > 0; }, 5);
-  const double fair = shared_fleet::safe + (shared_fleet::whole - 9 * shared_fleet::safe) * 0.95 / 9;
+  const double fair = s.safe + (shared_fleet::whole - 9 * s.safe) * 0.95 / 9;
   const double join = rounds_until([&] { return s.share(5) > 0.97 * fair; });
   // A burst on one while the others idle.
   s.all_want(1);
--- a/src/budgets/allocator.cpp
+++ b/src/budgets/allocator.cpp
@@ -35,7 +35,7 @@
       digest_(digest),
       self_(std::move(self)),
       term_(term),
-      known_from_(now + surely_over(o.rules) + o.settle) {}
+      leases_over_(now + surely_over(o.rules)) {}
 
 double allocator::pool(std::size_t i) const {
   return std::max(0.0, budgets_[i].whole - budgets_[i].safe * static_cast<double>(options_.members));
@@ -48,12 +48,14 @@
 double allocator::committed(std::size_t i, time_point now) const {
   double sum = 0;
   for (const auto& [s, n] : nodes_)
-    if (now < n.until) sum += n.committed[i];
+    if (now < n.over + budgets_[i].settle) sum += n.committed[i];
   return sum;
 }
 
 void allocator::forget(time_point now) {
-  std::erase_if(nodes_, [now](const auto& n) { return now >= n.second.until; });
+  duration longest{};
+  for (const budget& b : budgets_) longest = std::max(longest, b.settle);
+  std::erase_if(nodes_, [=](const auto& n) { return now >= n.second.over + longest; });
 }
 
 // The fair share of one node among those that asked within a lease: whoever fell silent still counts in the
@@ -85,10 +87,10 @@
   if (m.sequence <= n.sequence) return;
   const std::size_t count = budgets_.size();
   const bool fresh = n.sequence == 0;
-  n.address = m.from;
+  n.address = m.answer_to.empty() ? m.from : m.answer_to;
   n.sequence = m.sequence;
   n.asked = now;
-  n.until = now + surely_over(options_.rules) + options_.settle;
+  n.over = now + surely_over(options_.rules);
   n.held.resize(count);
   n.demand.resize(count);
   n.committed.resize(count);
@@ -105,7 +107,7 @@
     // a lease that ended, may have been given to others since: it counts, and is no claim.
     const double leased = std::clamp(m.entries[i].leased, 0.0, n.held[i]);
     double given = std::min(wanted, leased);
-    if (wanted > leased && now >= known_from_) {
+    if (wanted > leased && now >= known_from(i)) {
       // Not known before: what the allocator before this one granted to those that have not asked yet.
       const bool joins = fresh && n.held[i] <= least_step;
       const double room = (joins ? pool(i) : divided(i)) - (committed(i, now) - n.committed[i]);
@@ -115,12 +117,12 @@
     n.committed[i] = std::max(n.held[i], given);
     answer.entries.push_back({given, 0});
   }
-  outbox_.push_back({m.from, std::move(answer)});
+  outbox_.push_back({n.address, std::move(answer)});
   // Whoever is short and could have more now is told to ask, once for each of its asks.
-  if (now < known_from_) return;
   for (auto& [s, other] : nodes_) {
     if (s == who || now - other.asked >= options_.rules.lease) continue;
     for (std::size_t i = 0; i < count; ++i) {
+      if (now < known_from(i)) continue;
       const double room = divided(i) - committed(i, now);
       if (room > least_step * pool(i) && other.granted[i] + least_step < target(i, s, now)) {
         outbox_.push_back({other.address, message{kind::poke, self_, term_, 0, s.second, digest_, {}}});
--- a/src/budgets/allocator.hpp
+++ b/src/budgets/allocator.hpp
@@ -21,7 +21,6 @@
 struct allocator_options {
   lease_rules rules;
   double reserve = 0.05;    // share of the pool that only nodes that hold nothing yet draw on
-  duration settle{};        // what a lost node had in flight is counted that much longer
   std::size_t members = 1;  // configured: each has the safe share
   std::size_t sessions_most = 1024;
 };
@@ -49,16 +48,18 @@
 
  private:
   struct node {
-    std::string address;
+    std::string address;  // where answers and pokes go
     std::uint64_t sequence = 0;
     std::vector<double> committed;  // the larger of what it holds and what it was last granted
     std::vector<double> held, demand, granted;
     time_point asked{};  // its latest request
-    time_point until{};  // from then on it surely holds nothing
+    time_point over{};   // from then on its lease is surely over; what was in flight then ends within the settling
   };
   using session = std::pair<std::string, std::uint64_t>;  // address and process
 
   void forget(time_point now);
+  // From when on nothing of budget i is in force that an allocator before this one granted and nobody has told since.
+  time_point known_from(std::size_t i) const { return leases_over_ + budgets_[i].settle; }
   double target(std::size_t i, const session& of, time_point now) const;
 
   allocator_options options_;
@@ -66,7 +67,7 @@
   std::uint64_t digest_;
   std::string self_;
   std::uint64_t term_;
-  time_point known_from_;  // until then others may hold what an allocator before this one granted
+  time_point leases_over_;  // those that the allocator before this one granted
   std::map<session, node> nodes_;
   std::uint64_t mismatched_ = 0;
   std::vector<envelope> outbox_;
--- a/src/budgets/holder.cpp
+++ b/src/budgets/holder.cpp
@@ -14,8 +14,13 @@
       leased_(budgets_.size()),
       short_(budgets_.size()) {}
 
+double holder::safe(std::size_t i, time_point now) const {
+  const budget& b = budgets_[i];
+  return joined_ && now >= *joined_ + (b.in_flight ? b.settle : duration{}) ? b.safe : 0;
+}
+
 double holder::share(std::size_t i, time_point now) const {
-  return budgets_[i].safe + (now < until_ ? leased_[i] : 0);
+  return safe(i, now) + (now < until_ ? leased_[i] : 0);
 }
 
 time_point holder::step(time_point now, const std::optional<std::string>& leader,
@@ -34,13 +39,13 @@
   sent_ = now;
   next_ = now + options_.renew;
   answered_ = false;
-  message m{kind::request, self_, 0, ++sequence_, session_, digest_, {}};
+  message m{kind::request, self_, 0, ++sequence_, session_, digest_, {}, false, answer_to_};
   for (std::size_t i = 0; i < budgets_.size(); ++i) {
     const double leased = now < until_ ? leased_[i] : 0;
     // What is in flight over the share is in force all the same.
-    const double over = budgets_[i].in_flight ? uses[i].in_force - budgets_[i].safe : 0;
+    const double over = budgets_[i].in_flight ? uses[i].in_force - safe(i, now) : 0;
     m.entries.push_back(
-        {std::max({leased, over, 0.0}), std::max(0.0, uses[i].demand - budgets_[i].safe), leased});
+        {std::max({leased, over, 0.0}), std::max(0.0, uses[i].demand - safe(i, now)), leased});
   }
   outbox_.push_back({*leader, std::move(m)});
   return std::min(next_, now + options_.soonest);
--- a/src/budgets/holder.hpp
+++ b/src/budgets/holder.hpp
@@ -4,7 +4,8 @@
 // thread.
 //
 // Promise: `share(i, now)` is the safe share and no more once the lease has ended, counted from when the
-// request that brought it was sent; an answer to any request but the latest changes nothing.
+// request that brought it was sent; an answer to any request but the latest changes nothing. The safe share
+// is nothing before `join()`, and for what is in flight for `settle` after it.
 #pragma once
 
 #include <cstdint>
@@ -25,6 +26,7 @@
   double safe = 0;         // of each configured member, always its own
   double weight = 1;       // of this node
   bool in_flight = false;  // what is in flight over a share stays held until it ends
+  duration settle{};       // ... and for so long after a node was lost, or its process ended
 };
 
 struct holder_options {
@@ -49,6 +51,14 @@
   time_point step(time_point now, const std::optional<std::string>& leader, const std::vector<use>& uses);
   void receive(time_point now, const message& m);
   std::vector<envelope> take_outbox() { return std::exchange(outbox_, {}); }
+  // From now on this process is the member, and has its safe share. What the process before it left in flight
+  // counts in that share until it has surely ended.
+  void join(time_point now) { joined_ = now; }
+  // Where answers go instead of to the member's address; empty: there.
+  void answer_to(std::string address) { answer_to_ = std::move(address); }
+  // The latest request: whether it was answered, and when it was sent.
+  bool answered() const { return answered_; }
+  time_point sent() const { return sent_; }
 
   double share(std::size_t i, time_point now) const;
   // The end of the lease, in this clock; past: none stands.
@@ -57,11 +67,15 @@
   const std::vector<budget>& budgets() const { return budgets_; }
 
  private:
+  double safe(std::size_t i, time_point now) const;
+
   holder_options options_;
   std::vector<budget> budgets_;
   std::string self_;
   std::uint64_t session_;
   std::uint64_t digest_;
+  std::string answer_to_;
+  std::optional<time_point> joined_;
   std::string asked_;           // the leader of the latest request
   std::uint64_t sequence_ = 0;  // of the latest request
   bool answered_ = true;        // it was
--- a/src/budgets/office.cpp
+++ b/src/budgets/office.cpp
@@ -1,11 +1,14 @@
 #include "budgets/office.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marblewharf::budgets {
 
 namespace {
 
+constexpr int tries_in_renewal = 4;  // members asked, while nobody says who leads
+
 // FNV-1a: only equality is asked of it, among files that people wrote.
 void add(std::uint64_t& hash, const std::string& text) {
   for (const char c : text + '\n') hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
@@ -16,7 +19,7 @@
 std::uint64_t digest_of(const std::vector<budget>& budgets, const std::set<std::string>& members) {
   std::uint64_t hash = 0xcbf29ce484222325ull;
   for (const budget& b : budgets)
-    add(hash, b.name + ' ' + std::to_string(b.whole) + ' ' + std::to_string(b.safe));
+    add(hash, b.name + ' ' + std::to_string(b.whole) + ' ' + std::to_string(b.safe) + ' ' + std::to_string(b.settle.count()));
   for (const std::string& m : members) add(hash, m);
   return hash;
 }
@@ -26,17 +29,37 @@
     : options_(o),
       members_(std::move(members)),
       self_(std::move(self)),
+      session_(session),
       digest_(digest_of(budgets, members_)),
       chair_(o.rules, members_, self_, session, now),
       holder_({o.rules, o.renew, o.soonest}, std::move(budgets), self_, session, digest_),
       noted_(holder_.budgets().size(), -1) {}
 
+void office::join(time_point now) {
+  if (std::exchange(joined_, true)) return;
+  // As a voter it begins now: what the process before it promised has to end first.
+  chair_ = chair(options_.rules, members_, self_, session_, now);
+  holder_.answer_to({});
+  holder_.join(now);
+  note(now);
+}
+
+// Before joining nobody says who leads: the members in turn are asked, and whoever answered last again.
+std::optional<std::string> office::whom_to_ask(time_point now) {
+  if (joined_) return chair_.leader(now);
+  const bool waits = !holder_.answered() && now - holder_.sent() < options_.renew / tries_in_renewal;
+  if (!tried_.empty() && (holder_.answered() || waits)) return tried_;
+  auto next = members_.upper_bound(tried_);
+  if (next == members_.end()) next = members_.begin();
+  return tried_ = *next;
+}
+
 std::optional<double> office::committed(std::size_t i, time_point now) const {
   return allocator_ && chair_.leads(now) ? std::optional(allocator_->committed(i, now)) : std::nullopt;
 }
 
 time_point office::step(time_point now, const std::vector<use>& uses, bool first) {
-  time_point due = chair_.step(now, first);
+  time_point due = joined_ ? chair_.step(now, first) : now + options_.renew;
   // The books go with the chair: whoever has it next, this member too, does not know what is granted
   // meanwhile.
   if (allocator_ && (!chair_.leads(now) || allocates_in_ != chair_.term())) {
@@ -45,10 +68,10 @@
   }
   if (!allocator_ && chair_.leads(now)) {
     allocates_in_ = chair_.term();
-    allocator_.emplace(allocator_options{options_.rules, options_.reserve, options_.settle, members_.size()},
+    allocator_.emplace(allocator_options{options_.rules, options_.reserve, members_.size()},
                        holder_.budgets(), digest_, self_, allocates_in_, now);
   }
-  due = std::min(due, holder_.step(now, chair_.leader(now), uses));
+  due = std::min(due, holder_.step(now, whom_to_ask(now), uses));
   pass(now);
   note(now);
   if (now < holder_.until()) due = std::min(due, holder_.until());
@@ -60,7 +83,9 @@
   switch (m.what) {
     case kind::ask:
     case kind::promise:
-    case kind::refusal: chair_.receive(now, m); break;
+    case kind::refusal:
+      if (joined_) chair_.receive(now, m);
+      break;
     case kind::request:
       // Only while the chair is surely this member's: an answer a moment later might be one too many.
       if (allocator_ && chair_.leads(now) && allocates_in_ == chair_.term()) allocator_->receive(now, m);
@@ -81,7 +106,7 @@
     if (allocator_)
       for (envelope& e : allocator_->take_outbox()) all.push_back(std::move(e));
     for (envelope& e : all) {
-      if (e.to != self_) {
+      if (e.to != self_ || !joined_) {
         outbox_.push_back(std::move(e));
         continue;
       }
--- a/src/budgets/office.hpp
+++ b/src/budgets/office.hpp
@@ -26,7 +26,6 @@
   duration renew = std::chrono::milliseconds(500);
   duration soonest = std::chrono::milliseconds(50);
   double reserve = 0.05;
-  duration settle = std::chrono::seconds(3);
 };
 
 // What this member acts on from now on; until the next change, or the lease's end, after which it is the safe
@@ -39,10 +38,16 @@
 
 class office {
  public:
-  // `members`: configured, `self` among them. `session`: of this process, above those before it (its start in
+  // Begins as a process that is not the member yet: it asks for shares, and has no voice and no safe share
+  // until join(). `members`: configured, `self` among them. `session`: of this process, above those before it (its start in
   // Unix ms). Throws std::invalid_argument where `self` is not among them.
   office(office_options o, std::vector<budget> budgets, std::set<std::string> members, std::string self,
          std::uint64_t session, time_point now);
+  // The member's address is this process's own from now on: the one before it has let go of it.
+  void join(time_point now);
+  bool joined() const { return joined_; }
+  // Until then: where answers reach this process.
+  void answer_to(std::string address) { holder_.answer_to(std::move(address)); }
 
   // `alive`: whether a member lives, as this one sees it; it decides who stands for the chair, never who may
   // have it.
@@ -73,11 +78,15 @@
   time_point step(time_point now, const std::vector<use>& uses, bool first);
   void pass(time_point now);
   void note(time_point now);
+  std::optional<std::string> whom_to_ask(time_point now);
 
   office_options options_;
   std::set<std::string> members_;
   std::string self_;
+  std::uint64_t session_;
   std::uint64_t digest_;
+  bool joined_ = false;
+  std::string tried_;  // before joining: the member asked last
   chair chair_;
   holder holder_;
   std::optional<allocator> allocator_;
@@ -88,7 +97,7 @@
   std::vector<change> changes_;
 };
 
-// Of what all members must have alike: names, wholes, safe shares, and who the members are.
+// Of what all members must have alike: names, wholes, safe shares, settling, and who the members are.
 std::uint64_t digest_of(const std::vector<budget>& budgets, const std::set<std::string>& members);
 
 }  // namespace marblewharf::budgets
--- a/src/budgets/wire.cpp
+++ b/src/budgets/wire.cpp
@@ -20,10 +20,11 @@
   std::uint64_t term = 0, sequence = 0, session = 0, digest = 0;
   std::vector<wire_entry> entries;
   bool leading = false;
-  MSGPACK_DEFINE(fleet, version, what, from, term, sequence, session, digest, entries, leading)
+  std::string answer_to;
+  MSGPACK_DEFINE(fleet, version, what, from, term, sequence, session, digest, entries, leading, answer_to)
 };
 
-constexpr std::uint32_t elements = 10;
+constexpr std::uint32_t elements = 11;
 constexpr std::size_t datagram_most = 1400;
 
 // Bounds on what one datagram may ask the decoder to build: a crafted one cannot make it allocate much.
@@ -47,7 +48,7 @@
 std::string encode(const std::string& fleet, const message& m) {
   wire_message w{
       fleet, wire_version, static_cast<std::uint8_t>(m.what), m.from, m.term, m.sequence, m.session, m.digest,
-      {},    m.leading};
+      {},    m.leading,    m.answer_to};
   for (const entry& e : m.entries) w.entries.push_back({e.held, e.demand, e.leased});
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, w);
@@ -70,7 +71,7 @@
       return {std::nullopt, wire_fault::undecodable};
     const auto w = o.as<wire_message>();
     if (!known(w.what) || w.entries.size() > budgets_most) return {std::nullopt, wire_fault::undecodable};
-    message m{static_cast<kind>(w.what), w.from, w.term, w.sequence, w.session, w.digest, {}, w.leading};
+    message m{static_cast<kind>(w.what), w.from, w.term, w.sequence, w.session, w.digest, {}, w.leading, w.answer_to};
     for (const wire_entry& e : w.entries) {
       // Guards the books: no number that is none, and no share below zero that would make room for others.
       if (!std::isfinite(e.held) || !std::isfinite(e.demand) || e.held < 0 || e.demand < 0 ||
--- a/src/budgets/wire.hpp
+++ b/src/budgets/wire.hpp
@@ -12,7 +12,7 @@
 
 namespace marblewharf::budgets {
 
-inline constexpr std::uint32_t wire_version = 1;
+inline constexpr std::uint32_t wire_version = 2;
 // Budgets in one message: so many fit into a datagram that is not fragmented.
 inline constexpr std::size_t budgets_most = 32;
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -138,6 +138,7 @@
   double whole = 0;
   double safe = 0;                        // of each configured member, always its own
   double weight = 1;                      // of this node
+  std::chrono::nanoseconds settle{};      // what a lost node had in flight is counted that much longer; of requests: 0
   unsigned tenant = 0;                    // of requests
   int request_class = -1;                 // of requests; -1: all of the tenant's
   std::optional<std::size_t> dependency;  // of calls
@@ -146,7 +147,7 @@
   std::vector<budget_config> all;
   std::chrono::nanoseconds lease = std::chrono::seconds(2);
   std::chrono::nanoseconds renew = std::chrono::milliseconds(500);
-  std::chrono::nanoseconds settle{};  // what a lost node had in flight is counted that much longer; the longest deadline
+  std::chrono::nanoseconds settle{};  // of budgets that do not say otherwise; left out: the longest deadline
   double drift = 0.01;                // the most that a clock's rate is wrong
   double reserve = 0.05;              // share of each whole kept for nodes that join
   double clock_rate = 1;              // of this node's clock; other than 1 for tests alone
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -209,7 +209,8 @@
     static cfg_opt_t budget[] = {CFG_STR("unit", nullptr, CFGF_NONE),   CFG_STR("whole", nullptr, CFGF_NONE),
                                  CFG_STR("safe", "0", CFGF_NONE),       CFG_STR("weight", "1", CFGF_NONE),
                                  CFG_STR("tenant", nullptr, CFGF_NONE), CFG_STR("class", nullptr, CFGF_NONE),
-                                 CFG_STR("dependency", nullptr, CFGF_NONE), CFG_END()};
+                                 CFG_STR("dependency", nullptr, CFGF_NONE),
+                                 CFG_STR("settle", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
                               CFG_SEC("fleet", fleet, CFGF_NODEFAULT),
                               CFG_SEC("budgets", budget_rules, CFGF_NODEFAULT),
@@ -534,6 +535,12 @@
       } else {
         s.fail("unit", "is none of runs, requests, calls", unit);
       }
+      // What is asked for a second is over when its second is: nothing of it stays in flight.
+      if (b.unit != budget_unit::requests) b.settle = all.settle;
+      if (!s.text("settle").empty()) {
+        if (b.unit == budget_unit::requests) s.fail("settle", "goes with unit = runs or calls");
+        b.settle = s.time("settle", 0s, 3600s);
+      }
       all.all.push_back(std::move(b));
       constexpr std::size_t most = 32;  // one datagram names them all
       if (all.all.size() > most) s.fail(nullptr, "is one too many: " + std::to_string(most) + " at the most");
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -4,6 +4,7 @@
 #include <Poco/NObserver.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <sstream>
 #include <stdexcept>
 
@@ -70,36 +71,84 @@
   return out;
 }
 
+membership::swim fresh_swim(const fleet_config& f) {
+  return {options_of(f),
+          membership::claim{text_of(f.advertise), f.zone, f.region_of(f.zone),
+                            static_cast<std::uint64_t>(net::unix_ms()), membership::health::alive},
+          seeds_of(f), net::steady_now()};
+}
+
+failover::zone_view fresh_view(const fleet_config& f, std::uint64_t incarnation) {
+  return {zones_of(f), text_of(f.advertise), {.hold_down = f.hold_down, .vote_lease = f.vote_lease}, incarnation};
+}
+
 }  // namespace
 
 link::link(net::reactor& r, const fleet_config& f, std::uint64_t seed)
     : reactor_(r),
       settings_(f),
       random_(seed),
-      swim_(options_of(f),
-            membership::claim{text_of(f.advertise), f.zone, f.region_of(f.zone),
-                              static_cast<std::uint64_t>(net::unix_ms()), membership::health::alive},
-            seeds_of(f), net::steady_now()),
-      view_(zones_of(f), text_of(f.advertise), {.hold_down = f.hold_down, .vote_lease = f.vote_lease},
-            swim_.self().incarnation),
+      swim_(fresh_swim(f)),
+      view_(fresh_view(f, swim_.self().incarnation)),
       zone_of_(zones_of(f)),
       started_(net::steady_now()),
       next_look_(started_ + f.probe_interval) {
+  if (join(started_)) return;
+  // Not yet the member: shares of budgets are asked for from a port of its own.
+  Poco::Net::DatagramSocket own(Poco::Net::SocketAddress::IPv4);
+  bind(own, 0);
+  listen_on(own);
+  telemetry::log("fleet", "%s is held by another process: this one joins once it lets go", text_of(f.listen).c_str());
+}
+
+link::~link() {
+  reactor_.removeEventHandler(socket_,
+                              Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
+}
+
+// False: another process holds the address. Never shared: of two sockets with SO_REUSEADDR on one UDP address the later
+// gets all datagrams, and the earlier would hold everybody dead.
+bool link::bind(Poco::Net::DatagramSocket& s, std::uint16_t port) const {
   try {
-    socket_.bind(Poco::Net::SocketAddress(f.listen.host, f.listen.port), true, false);
-    socket_.setBlocking(false);
+    s.bind(Poco::Net::SocketAddress(settings_.listen.host, port), false, false);
+    s.setBlocking(false);
+    return true;
   } catch (const Poco::Exception& e) {
-    throw std::runtime_error("fleet: " + text_of(f.listen) + ": " + e.displayText());
+    if (e.code() == EADDRINUSE) return false;
+    throw std::runtime_error("fleet: " + text_of(settings_.listen) + ": " + e.displayText());
   }
+}
+
+void link::listen_on(const Poco::Net::DatagramSocket& s) {
+  socket_ = s;
   reactor_.addEventHandler(socket_,
                            Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
-  telemetry::log("fleet", "%s in zone %s of fleet %s, incarnation %llu", text_of(f.advertise).c_str(), f.zone.c_str(),
-                 f.name.c_str(), static_cast<unsigned long long>(swim_.self().incarnation));
 }
 
-link::~link() {
-  reactor_.removeEventHandler(socket_,
-                              Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
+bool link::join(time_point now) {
+  Poco::Net::DatagramSocket members_own(Poco::Net::SocketAddress::IPv4);
+  if (!bind(members_own, settings_.listen.port)) return false;
+  if (now > started_) {  // it has waited on a port of its own
+    reactor_.removeEventHandler(socket_,
+                                Poco::NObserver<link, Poco::Net::ReadableNotification>(*this, &link::on_readable));
+    telemetry::log("fleet", "%s is this process's now", text_of(settings_.listen).c_str());
+    // An incarnation above all that the process before it had, and a grace that begins now.
+    swim_ = fresh_swim(settings_);
+    view_ = fresh_view(settings_, swim_.self().incarnation);
+    started_ = now;
+    ++changes_;
+  }
+  listen_on(members_own);
+  joined_ = true;
+  telemetry::log("fleet", "%s in zone %s of fleet %s, incarnation %llu", text_of(settings_.advertise).c_str(),
+                 settings_.zone.c_str(), settings_.name.c_str(),
+                 static_cast<unsigned long long>(swim_.self().incarnation));
+  return true;
+}
+
+std::string link::own_address() const {
+  const std::string& host = settings_.listen.host == "0.0.0.0" ? settings_.advertise.host : settings_.listen.host;
+  return host + ":" + std::to_string(socket_.address().port());
 }
 
 void link::on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
@@ -118,6 +167,7 @@
     if (n <= 0) break;
     const std::string_view bytes(datagram, static_cast<std::size_t>(n));
     if (other_ && other_(bytes)) continue;
+    if (!joined_) continue;
     const membership::decoded d = membership::decode(settings_.name, bytes);
     switch (d.fault) {
       case membership::wire_fault::foreign: ++figures_.foreign; continue;
@@ -135,6 +185,11 @@
 }
 
 time_point link::step(time_point now) {
+  if (!joined_) {
+    if (now < next_look_) return next_look_;
+    next_look_ = now + settings_.probe_interval;
+    if (!join(now)) return next_look_;
+  }
   time_point due = swim_.step(now, random_);
   if (now >= next_look_) {
     next_look_ = now + settings_.probe_interval;
@@ -166,6 +221,7 @@
 }
 
 bool link::routable(const std::string& place) const {
+  if (!joined_) return true;
   const auto zone = zone_of_.find(place);
   if (zone == zone_of_.end()) return failover::zone_routable(view_.of(place), place == settings_.zone);
   if (place == swim_.self().address) return true;
@@ -221,7 +277,8 @@
 std::string link::show_members() const {
   std::ostringstream out;
   const membership::claim& self = swim_.self();
-  out << self.address << ' ' << self.zone << ' ' << self.region << " self " << self.incarnation << '\n';
+  out << self.address << ' ' << self.zone << ' ' << self.region << (joined_ ? " self " : " waiting ") << self.incarnation
+      << '\n';
   for (const auto& [address, c] : swim_.members())
     out << address << ' ' << c.zone << ' ' << c.region << ' ' << name_of(c.state) << ' ' << c.incarnation << '\n';
   return out.str();
@@ -261,7 +318,7 @@
   }
   std::size_t out_zones = 0;
   for (const std::string& z : view_.zones()) out_zones += view_.of(z).out ? 1 : 0;
-  out << "fleet.members_alive=" << alive << "\nfleet.members_suspect=" << suspect << "\nfleet.members_dead=" << dead
+  out << "fleet.joined=" << (joined_ ? 1 : 0) << "\nfleet.members_alive=" << alive << "\nfleet.members_suspect=" << suspect << "\nfleet.members_dead=" << dead
       << "\nfleet.zones_out=" << out_zones << "\nfleet.declared_out=" << figures_.declared_out
       << "\nfleet.declared_back=" << figures_.declared_back << "\nfleet.local_health=" << swim_.local_health()
       << "\nfleet.sent=" << figures_.sent << "\nfleet.received=" << figures_.received
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -31,9 +31,12 @@
   std::uint64_t declared_out = 0, declared_back = 0;  // verdicts on zones that moved, since the start
 };
 
+// The member's address is bound alone, so of all processes given it on a machine one is the member: a second one
+// (a replacement) waits on a port of its own until the first lets go, takes no part in membership and votes, and
+// calls may go anywhere as if there were no fleet.
 class link {
  public:
-  // Throws std::runtime_error naming the address that cannot be bound.
+  // Throws std::runtime_error naming the address that cannot be bound, but for one that another process holds.
   link(net::reactor& r, const fleet_config& f, std::uint64_t seed);
   ~link();
   link(const link&) = delete;
@@ -41,6 +44,10 @@
 
   // Probes, timeouts, votes; returns when it wants to be called again.
   time_point step(time_point now);
+  // Whether this process is the member.
+  bool joined() const { return joined_; }
+  // What this process's own socket is bound to, as the others can send to it; of use before it is the member.
+  std::string own_address() const;
 
   // One line a member, "ADDRESS ZONE REGION STATE INCARNATION", this node first.
   std::string show_members() const;
@@ -62,6 +69,9 @@
   std::uint64_t changes() const { return changes_; }
 
  private:
+  bool bind(Poco::Net::DatagramSocket& s, std::uint16_t port) const;
+  void listen_on(const Poco::Net::DatagramSocket& s);
+  bool join(time_point now);
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
   void flush();
   void log_changes();
@@ -71,6 +81,7 @@
   const fleet_config& settings_;
   Poco::Net::DatagramSocket socket_;
   std::mt19937_64 random_;
+  bool joined_ = false;
   membership::swim swim_;
   failover::zone_view view_;
   std::map<std::string, std::string> zone_of_;  // configured member address -> zone
--- a/src/fleet/shares.cpp
+++ b/src/fleet/shares.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <sstream>
 
 #include "budgets/wire.hpp"
@@ -15,9 +14,6 @@
 namespace {
 
 constexpr duration measure_every = std::chrono::milliseconds(50);
-constexpr double fade_s = 1;      // of what was counted: a burst is over when a second has gone by without it
-constexpr double headroom = 1.1;  // over what is measured: the next second's arrivals are not the last one's
-constexpr double headroom_units = 1;
 
 std::string text_of(const endpoint& e) {
   return e.host + ":" + std::to_string(e.port);
@@ -33,7 +29,7 @@
 std::vector<budgets::budget> budgets_of(const budgets_config& c) {
   std::vector<budgets::budget> all;
   for (const budget_config& b : c.all)
-    all.push_back({b.name, b.whole, b.safe, b.weight, b.unit != budget_unit::requests});
+    all.push_back({b.name, b.whole, b.safe, b.weight, b.unit != budget_unit::requests, b.settle});
   return all;
 }
 
@@ -42,7 +38,6 @@
   o.rules = {c.lease, c.drift};
   o.renew = c.renew;
   o.reserve = c.reserve;
-  o.settle = c.settle;
   return o;
 }
 
@@ -68,7 +63,8 @@
       office_(options_of(settings_), budgets_of(settings_), members_of(*settings.fleet),
               text_of(settings.fleet->advertise), static_cast<std::uint64_t>(net::unix_ms()), clock()),
       uses_(settings_.all.size()),
-      meters_(settings_.all.size()),
+      rates_(settings_.all.size()),
+      flights_(settings_.all.size()),
       told_(settings_.all.size(), -1),
       moved_(settings_.all.size()) {
   link_.hear([this](std::string_view datagram) { return on_datagram(datagram); });
@@ -77,10 +73,11 @@
       const budget_config& b = settings_.all[i];
       if (b.unit == budget_unit::requests && b.tenant == what.tenant &&
           (b.request_class < 0 || b.request_class == static_cast<int>(what.request_class)))
-        ++meters_[i].counted;
+        rates_[i].count();
     }
   });
-  apply(clock());  // the safe shares bind from the first request on
+  look_for_address(clock());
+  apply(clock());  // what there is binds from the first request on
 }
 
 // The clock of leases: it goes on while the machine sleeps. `clock_rate` makes it run apart for tests.
@@ -111,35 +108,36 @@
 
 void shares::measure(time_point now) {
   if (now - measured_ < measure_every) return;
-  const double gone =
-      measured_.count() == 0 ? fade_s : std::chrono::duration<double>(now - measured_).count();
   measured_ = now;
-  const double keep = std::exp(-gone / fade_s);
   const dispatcher::load load = desk_.in_hand();
-  refused_lately_ = refused_lately_ * keep + static_cast<double>(counters_.refused - refused_before_);
-  refused_before_ = counters_.refused;
   for (std::size_t i = 0; i < settings_.all.size(); ++i) {
     const budget_config& b = settings_.all[i];
-    meter& m = meters_[i];
     switch (b.unit) {
       case budget_unit::runs:
-        uses_[i] = {
-            static_cast<double>(load.running),
-            headroom * (static_cast<double>(load.running + load.waiting) + refused_lately_) + headroom_units};
+        uses_[i] = flights_[i].measure(now, load.running, load.waiting, counters_.refused);
         break;
-      case budget_unit::requests:
-        m.per_second = m.per_second * keep + (1 - keep) * static_cast<double>(m.counted) / gone;
-        m.counted = 0;
-        uses_[i] = {0, headroom * m.per_second + headroom_units};
+      case budget_unit::requests: uses_[i] = rates_[i].measure(now); break;
+      case budget_unit::calls: {
+        const calls_user::calls c = calls_.use(*b.dependency);
+        uses_[i] = flights_[i].measure(now, c.in_flight, c.waiting, c.turned_away);
         break;
-      case budget_unit::calls: uses_[i] = calls_.use(*b.dependency); break;
+      }
     }
   }
 }
 
+void shares::look_for_address(budgets::time_point at) {
+  if (office_.joined()) return;
+  if (link_.joined())
+    office_.join(at);
+  else
+    office_.answer_to(link_.own_address());
+}
+
 time_point shares::step(time_point now) {
   measure(now);
   const budgets::time_point at = clock();
+  look_for_address(at);
   const budgets::time_point due =
       office_.step(at, uses_, [this](const std::string& m) { return link_.alive(m); });
   apply(at);
@@ -188,7 +186,7 @@
   for (std::size_t i = 0; i < settings_.all.size(); ++i) {
     const budget_config& b = settings_.all[i];
     out << b.name << ' ' << name_of(b.unit) << ' ' << b.whole << ' ' << office_.share(i, at) << ' '
-        << (b.unit == budget_unit::requests ? meters_[i].per_second : uses_[i].in_force) << ' '
+        << (b.unit == budget_unit::requests ? rates_[i].per_second() : uses_[i].in_force) << ' '
         << uses_[i].demand << ' ' << left << ' ' << office_.leader(at).value_or("none") << '\n';
   }
   return out.str();
--- a/src/fleet/shares.hpp
+++ b/src/fleet/shares.hpp
@@ -1,6 +1,9 @@
 // The node's part in the fleet's budgets: carries the office's messages over the fleet's socket, tells it
 // what the node uses and could use, and passes shares on to whoever acts on them (docs/budgets.md).
 //
+// While another process still has the member's address (a replacement), this one acts on what it is granted
+// for itself, and has no safe share (docs/budgets.md).
+//
 // Exists only where the operator's file names a budget; `run` on the platform never does. Owned by the
 // reactor's thread.
 #pragma once
@@ -10,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "budgets/demand.hpp"
 #include "budgets/office.hpp"
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
@@ -20,7 +24,11 @@
 // Whoever acts on a share of calls at a dependency.
 struct calls_user {
   std::function<void(std::size_t dependency, double calls)> limit;
-  std::function<budgets::use(std::size_t dependency)> use;
+  struct calls {
+    std::size_t in_flight = 0, waiting = 0;
+    std::uint64_t turned_away = 0;  // since the start, for want of room
+  };
+  std::function<calls(std::size_t dependency)> use;
 };
 
 class shares {
@@ -39,15 +47,10 @@
   std::string show_figures() const;
 
  private:
-  // Arrivals a second, over the last one or so.
-  struct meter {
-    double per_second = 0;
-    std::uint64_t counted = 0;
-    time_point since{};
-  };
   bool on_datagram(std::string_view datagram);
   budgets::time_point clock() const;
   void measure(time_point now);
+  void look_for_address(budgets::time_point at);
   void apply(budgets::time_point at);
   void flush();
 
@@ -59,9 +62,8 @@
   calls_user calls_;
   budgets::office office_;
   std::vector<budgets::use> uses_;
-  std::vector<meter> meters_;  // by budget, of requests
-  std::uint64_t refused_before_ = 0;
-  double refused_lately_ = 0;  // runs wanted by what was refused, fading over a second
+  std::vector<budgets::rate_demand> rates_;      // by budget, of requests
+  std::vector<budgets::flight_demand> flights_;  // by budget, of runs and calls
   time_point measured_{};
   std::vector<double> told_;          // shares handed on
   std::vector<std::uint64_t> moved_;  // by budget: how often a share changed
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -264,7 +264,7 @@
     calls.limit = [&gatherer](std::size_t d, double n) { gatherer->set_share(d, n); };
     calls.use = [&gatherer](std::size_t d) {
       const auto now = gatherer->calls_at(d);
-      return budgets::use{static_cast<double>(now.in_flight), 1.1 * static_cast<double>(now.in_flight + now.waiting) + 1};
+      return fleet::calls_user::calls{now.in_flight, now.waiting, 0};
     };
     shared.emplace(*fleet, settings, desk, counters, std::move(calls));
   }
--- a/tests/budgets/office_test.cpp
+++ b/tests/budgets/office_test.cpp
@@ -1,6 +1,7 @@
 // Budgets of a whole fleet in one process (ctest -L budgets): clocks that run apart, links that lose, copy,
 // delay and cut, members paused, killed and started anew; an auditor sums what all act on at every step of
 // true time.
+#include "budgets/demand.hpp"
 #include "budgets/office.hpp"
 
 #include <rapidcheck.h>
@@ -43,42 +44,71 @@
     }
   }
   static std::string at(int i) { return std::string("m") + static_cast<char>('a' + i); }
-  static std::vector<budget> both() { return {{"rate", 90, 1, 1, false}, {"runs", 60, 0, 1, true}}; }
+  // Processes beside member i, which wait for its address, are number i + waits here.
+  static constexpr int waits = 100;
+  static std::string reached_at(int p) {
+    return p < waits ? at(p) : std::string("g") + static_cast<char>('a' + p - waits);
+  }
+  static int process_at(const std::string& address) {
+    return address[1] - 'a' + (address[0] == 'g' ? waits : 0);
+  }
+  static std::vector<budget> both() {
+    return {{"rate", 90, 1, 1, false, {}},
+            {"runs", 60, 2, 1, true, settles ? std::chrono::duration_cast<duration>(longest * 1.2) : duration{}}};
+  }
   static office_options options() {
     office_options o;
     o.rules = {1s, drift};
     o.renew = 200ms;
     o.soonest = 20ms;
-    o.settle = settles ? std::chrono::duration_cast<duration>(longest * 1.2) : duration{};
     return o;
   }
-  duration local(int i) const {
+  duration local(int p) const {
+    const int i = p % waits;
     return offset.at(i) + std::chrono::duration_cast<duration>(now * rate.at(i));
   }
   void start(int i) {
     members[i] = std::make_unique<office>(options(), both(), names, at(i), ++sessions, local(i));
-    running[i].clear();
+    members[i]->join(local(i));
     believed[i].clear();
   }
-  void kill(int i) {
-    members.erase(i);
-    running[i].clear();  // its runs go with it here; the lease and settle are counted all the same
+  // What it had in flight goes on to its end.
+  void kill(int p) {
+    members.erase(p);
+    auto& runs = left[p % waits];
+    runs.insert(runs.end(), running[p].begin(), running[p].end());
+    running[p].clear();
   }
-  bool cut_between(int a, int b) const { return cut.contains({a, b}); }
+  // A replacement: a second process beside member i, and later the end of the first.
+  void beside(int i) {
+    if (members.contains(i + waits) || !members.contains(i)) return;
+    members[i + waits] = std::make_unique<office>(options(), both(), names, at(i), ++sessions, local(i));
+    members[i + waits]->answer_to(reached_at(i + waits));
+  }
+  void take_over(int i) {
+    if (!members.contains(i + waits)) return;
+    if (members.contains(i)) kill(i);
+    members[i] = std::move(members[i + waits]);
+    members.erase(i + waits);
+    running[i] = std::exchange(running[i + waits], {});
+    members[i]->join(local(i));
+  }
+  bool cut_between(int a, int b) const { return cut.contains({a % waits, b % waits}); }
 
   void tick(double loss = 0, double twice = 0, duration latest = 5ms) {
     now += 10ms;
     std::uniform_real_distribution<double> chance(0, 1);
     for (auto& [i, m] : members) {
-      if (paused.contains(i)) continue;
+      if (paused.contains(i % waits)) continue;
       auto& runs = running[i];
       std::erase_if(runs, [&](duration ends) { return ends <= now; });
       const double share = m->share(1, local(i));
       // Starts what its share lets it, as the node does: the look at the clock stands before each start.
-      const double most = std::min(std::floor(share), demand[i][1]);
+      const auto& wants = demand[i % waits];
+      const double most = std::min(std::floor(share), wants[1]);
       while (static_cast<double>(runs.size()) + 1 <= most)
         runs.push_back(now + std::chrono::duration_cast<duration>(chance(random) * longest));
-      const std::vector<use> uses = {{0, demand[i][0]}, {static_cast<double>(runs.size()), demand[i][1]}};
+      const std::vector<use> uses = {{0, wants[0]}, {static_cast<double>(runs.size()), wants[1]}};
       m->step(local(i), uses, [&](const std::string& other) {
         const int k = other[1] - 'a';
         // Known dead a while after it went; the belief may be wrong in any way, safety does not rest on it.
@@ -89,7 +119,7 @@
         return now - believed[i][k] < 500ms;
       });
       for (const envelope& e : m->take_outbox()) {
-        const int to = e.to[1] - 'a';
+        const int to = process_at(e.to);
         if (cut_between(i, to) || chance(random) < loss) continue;
         for (int copies = chance(random) < twice ? 2 : 1; copies > 0; --copies)
           in_flight.insert({now + std::chrono::duration_cast<duration>(chance(random) * latest), {to, e.m}});
@@ -98,7 +128,7 @@
     while (!in_flight.empty() && in_flight.begin()->first <= now) {
       const auto [to, m] = in_flight.begin()->second;
       in_flight.erase(in_flight.begin());
-      if (members.contains(to) && !paused.contains(to)) members.at(to)->receive(local(to), m);
+      if (members.contains(to) && !paused.contains(to % waits)) members.at(to)->receive(local(to), m);
     }
     audit();
   }
@@ -113,8 +143,13 @@
       sums[1] += std::max(std::floor(m->share(1, local(i))), static_cast<double>(runs));
       leading += m->leads(local(i));
     }
+    for (auto& [i, runs] : left) {
+      std::erase_if(runs, [&](duration ends) { return ends <= now; });
+      sums[1] += static_cast<double>(runs.size());
+    }
     // The safe shares of members that are not there are theirs all the same.
-    sums[0] += static_cast<double>(names.size() - members.size()) * both()[0].safe;
+    for (int i = 0; i < static_cast<int>(names.size()); ++i)
+      if (!members.contains(i)) sums[0] += both()[0].safe;
     CHECK(leading <= 1);
     for (std::size_t b = 0; b < (settles ? 2u : 1u); ++b) {
       highest[b] = std::max(highest[b], sums[b]);
@@ -144,6 +179,7 @@
   std::map<int, std::array<double, 2>> demand;
   std::map<int, std::unique_ptr<office>> members;
   std::map<int, std::vector<duration>> running;  // ends of runs, in true time
+  std::map<int, std::vector<duration>> left;     // by member: of runs whose process has gone
   std::map<int, std::map<int, duration>> believed;
   std::set<std::pair<int, int>> cut;  // one way
   std::set<int> paused;
@@ -159,7 +195,7 @@
     const int steps = *rc::gen::inRange(10, 60);
     for (int s = 0; s < steps; ++s) {
       const int who = *rc::gen::inRange(0, n);
-      switch (*rc::gen::inRange(0, 8)) {
+      switch (*rc::gen::inRange(0, 10)) {
         case 0:
           for (int k = 0; k < n; ++k)
             if (*rc::gen::inRange(0, 2) == 0) w.cut.insert({who, k});  // one way
@@ -171,7 +207,13 @@
           if (!w.paused.contains(who)) w.kill(who);
           break;
         case 5:
-          if (!w.members.contains(who)) w.start(who);
+          if (!w.members.contains(who)) w.members.contains(who + world::waits) ? w.take_over(who) : w.start(who);
+          break;
+        case 6:
+          if (!w.paused.contains(who)) w.beside(who);
+          break;
+        case 7:
+          if (!w.paused.contains(who)) w.take_over(who);
           break;
         default:
           w.demand[who] = {static_cast<double>(*rc::gen::inRange(0, 200)),
@@ -185,6 +227,7 @@
     w.cut.clear();
     w.paused.clear();
     for (int i = 0; i < n; ++i) {
+      w.take_over(i);
       if (!w.members.contains(i)) w.start(i);
       w.demand[i] = {500, 500};
     }
@@ -328,7 +371,8 @@
 // Answers to any request but the latest change nothing, nor does a second one to that, nor one to another
 // process's.
 void stale_answers() {
-  holder h({.rules = {1s, drift}, .renew = 200ms}, {{"rate", 90, 1, 1, false}}, "m", 5, 7);
+  holder h({.rules = {1s, drift}, .renew = 200ms}, {{"rate", 90, 1, 1, false, {}}}, "m", 5, 7);
+  h.join(0s);
   const std::vector<use> wants = {{0, 300}};
   const auto grant = [](std::uint64_t sequence, double held, std::uint64_t session = 5) {
     return message{kind::grant, "l", 1, sequence, session, 7, {{held, 0}}};
@@ -367,7 +411,7 @@
 
 // What is in flight over a lease that ended counts, and is no claim: others may have its share by now.
 void overhang() {
-  allocator a({.rules = {1s, drift}, .reserve = 0, .settle = 0s, .members = 2}, {{"runs", 10, 0, 1, true}}, 7,
+  allocator a({.rules = {1s, drift}, .reserve = 0, .members = 2}, {{"runs", 10, 0, 1, true, {}}}, 7,
               "l", 1, 0s);
   const auto given = [&](const std::string& from, entry e) {
     a.receive(10s, message{kind::request, from, 0, 1, 1, 7, {e}});
@@ -385,11 +429,76 @@
   auto larger = world::both();
   larger[0].whole = 900;
   w.members[2] = std::make_unique<office>(world::options(), larger, w.names, world::at(2), 99, w.local(2));
+  w.members[2]->join(w.local(2));
   w.run(8s);
   CHECK(w.share(2) == 1 && w.share(1) > 30);
   CHECK(w.members.at(w.leader())->mismatched() > 0);
 }
 
+// A process beside its member's first one: it finds the one that allocates without hearing who leads, has its part while
+// both run, and no safe share; it has that once it is the member, and goes on with what it holds.
+void beside() {
+  world w(5, 10);
+  for (int i = 0; i < 5; ++i) w.demand[i] = {300, 300};
+  w.run(8s);
+  w.beside(3);
+  CHECK(w.share(3 + world::waits) == 0);
+  w.run(4s);
+  const double before = w.share(3 + world::waits);
+  CHECK(before > 10 && w.share(3) > 10);
+  // A seventh of what is divided, without the safe share that the others have beside it.
+  CHECK(before < 85 * 0.95 / 6 + 0.1);
+  w.take_over(3);
+  CHECK(w.share(3) == before + 1);
+  w.run(4s);
+  CHECK(w.share(3) > 15);
+}
+
+// What a process before left in flight counts in the member's safe share until it has surely ended.
+void safe_after_settling() {
+  holder h({.rules = {1s, drift}}, {{"rate", 90, 1, 1, false, {}}, {"runs", 60, 2, 1, true, 900ms}}, "m", 5, 7);
+  CHECK(h.share(0, 10s) == 0 && h.share(1, 10s) == 0);
+  h.join(10s);
+  CHECK(h.share(0, 10s) == 1 && h.share(1, 10s) == 0);
+  CHECK(h.share(1, 10899ms) == 0 && h.share(1, 10900ms) == 2);
+}
+
+// After the one that allocates was lost, rates grow again once the leases that it granted are over, and do not wait for
+// what settles in flight.
+void rates_need_no_settling() {
+  const std::vector<budget> all = {{"rate", 90, 0, 1, false, {}}, {"runs", 60, 0, 1, true, 5s}};
+  const lease_rules rules{1s, drift};
+  allocator a({.rules = rules, .reserve = 0, .members = 2}, all, 7, "l", 1, 0s);
+  std::uint64_t sequence = 0;
+  const auto given = [&](time_point at) {
+    a.receive(at, message{kind::request, "x", 0, ++sequence, 1, 7, {{0, 50, 0}, {0, 50, 0}}});
+    return a.take_outbox().at(0).m.entries;
+  };
+  CHECK(given(surely_over(rules) - 1ms)[0].held == 0);
+  CHECK(given(surely_over(rules))[0].held == 50);
+  CHECK(given(surely_over(rules) + 4999ms)[1].held == 0);
+  CHECK(given(surely_over(rules) + 5s)[1].held == 50);
+}
+
+// Arrivals a second with headroom; a burst fades; what was turned away for want of room counts as wanted for a while.
+void demands() {
+  rate_demand r;
+  time_point at = 10s;
+  double demand = 0;
+  for (int i = 0; i < 100; ++i, at += 50ms) {
+    for (int k = 0; k < 5; ++k) r.count();
+    demand = r.measure(at).demand;
+  }
+  CHECK(r.per_second() > 95 && r.per_second() < 105);
+  CHECK(demand > 1.05 * r.per_second());
+  CHECK(r.measure(at + 5s).demand < 3);
+  flight_demand f;
+  CHECK(f.measure(1s, 4, 2, 0).demand > 7 && f.measure(1s, 4, 2, 0).in_force == 4);
+  const double wanted = f.measure(1050ms, 4, 2, 50).demand;
+  CHECK(wanted > 56);
+  CHECK(f.measure(8s, 4, 2, 50).demand < 8);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -405,6 +514,10 @@
                                                    {"overhang", overhang},
                                                    {"voter", voter},
                                                    {"paused", paused},
+                                                   {"beside", beside},
+                                                   {"safe_after_settling", safe_after_settling},
+                                                   {"rates_need_no_settling", rates_need_no_settling},
+                                                   {"demands", demands},
                                                    {"other_budgets", other_budgets}};
   tests.at(argv[1])();
   std::printf("%s passed\n", argv[1]);
--- a/tests/fleet/audit.hpp
+++ b/tests/fleet/audit.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <ctime>
 #include <thread>
 
 #include "fleet.hpp"
@@ -28,6 +29,13 @@
   int node = 0;
   double share = 0;
   double from = 0, until = 0;  // ns
+  double counted = 0;          // of it, in the safe share that is counted for each member anyway
+};
+
+// What processes of one member logged that never ran side by side.
+struct process_line {
+  std::string log;
+  double ended = 1e30;  // the last of them was told to leave, and was gone then
 };
 
 // The spans in one log: each lasts until the next, or its lease's end, from which on the safe share is in
@@ -38,7 +46,7 @@
   std::string line;
   while (std::getline(lines, line)) {
     unsigned budget = 0;
-    in_force s{number, 0, 0, 0};
+    in_force s{number, 0, 0, 0, safe};
     if (std::sscanf(line.c_str(), "audit: share %u %lf from %lf until %lf", &budget, &s.share, &s.from,
                     &s.until) != 4 ||
         budget != 0)
@@ -51,14 +59,35 @@
   return spans;
 }
 
+// The spans of one member. While two of its processes run side by side, the safe share is counted for the first.
+inline std::vector<in_force> spans_of(int number, const std::vector<process_line>& lines, double safe) {
+  std::vector<in_force> all;
+  double alone_from = 0;
+  for (const process_line& line : lines) {
+    for (in_force s : spans_of(number, line.log, safe)) {
+      s.until = std::min(s.until, line.ended);
+      if (s.from < alone_from) {
+        in_force beside = s;
+        beside.until = std::min(s.until, alone_from);
+        beside.counted = 0;
+        all.push_back(beside);
+        s.from = alone_from;
+      }
+      all.push_back(s);
+    }
+    alone_from = line.ended;
+  }
+  return all;
+}
+
 // The highest sum over all nodes at any instant, with `safe` for each node that has no span then.
 inline double highest_sum(const std::vector<std::vector<in_force>>& all, double safe) {
   std::multimap<double, double> changes;  // instant -> what is added to the sum
   for (const auto& spans : all)
     for (const in_force& s : spans) {
       if (s.until <= s.from) continue;
-      changes.insert({s.from, s.share - safe});
-      changes.insert({s.until, -(s.share - safe)});
+      changes.insert({s.from, s.share - s.counted});
+      changes.insert({s.until, -(s.share - s.counted)});
     }
   double sum = safe * static_cast<double>(all.size()), highest = sum;
   for (auto at = changes.begin(); at != changes.end();) {
@@ -75,21 +104,23 @@
   int lease_ms = 1000, renew_ms = 200;
   int run_ms =
       0;  // above 0: the whole is of runs in flight, each of which takes so long; else of a tenant's requests
+  double safe = 1;
 };
 
 // `whole` requests a second of one tenant, or runs in flight; `safe` of them each node's own.
 class shared_fleet {
  public:
-  static constexpr double whole = 90, safe = 1;
+  static constexpr double whole = 90;
+  const double safe;
 
-  explicit shared_fleet(shared_options o = {}) : run_ms_(o.run_ms) {
+  explicit shared_fleet(shared_options o = {}) : safe(o.safe), run_ms_(o.run_ms) {
     fleet_options f_options;
     f_options.operators = [o](int i) {
       std::ostringstream t;
       t << "budgets {\n lease = " << o.lease_ms << "ms\n renew = " << o.renew_ms
         << "ms\n settle = " << 2 * o.run_ms << "ms\n drift = " << o.drift
         << "\n audit = yes\n clock_rate = " << o.rate(i) << "\n}\nbudget kurse {\n whole = " << whole
-        << "\n safe = " << safe
+        << "\n safe = " << o.safe
         << (o.run_ms > 0 ? "\n unit = runs\n}\n" : "\n unit = requests\n tenant = isar-invest\n}\n");
       return t.str();
     };
@@ -97,6 +128,7 @@
     f_options.edit = [](int, node_options& n) { n.cores = 128; };
     f = std::make_unique<fleet>(f_options);
     logs_.resize(9);
+    ended_.resize(9);
     for (int i = 0; i < 9; ++i) callers_.emplace_back([this, i] { call_for_ever(i); });
     f->whole();
   }
@@ -115,6 +147,16 @@
     f->kill(i);
     logs_[static_cast<std::size_t>(i)] += f->at(i).log();
   }
+  // Replaces a node by a second process; `between`: while both run.
+  void replace(int i, const std::function<void()>& between) {
+    const auto at = static_cast<std::size_t>(i);
+    f->beside(i);
+    between();
+    const std::string log = f->leave(i);
+    timespec t{};
+    ::clock_gettime(CLOCK_BOOTTIME, &t);
+    ended_[at].push_back({std::exchange(logs_[at], "") + log, static_cast<double>(t.tv_sec) * 1e9 + static_cast<double>(t.tv_nsec)});
+  }
   // Cuts these nodes from the others, both ways.
   void cut(const std::set<int>& side) {
     for (const int a : side)
@@ -155,8 +197,9 @@
     std::vector<std::vector<in_force>> all;
     std::size_t spans = 0;
     for (int i = 0; i < 9; ++i) {
-      const std::string log = logs_[static_cast<std::size_t>(i)] + (f->running(i) ? f->at(i).log() : "");
-      all.push_back(spans_of(i, log, safe));
+      std::vector<process_line> lines = ended_[static_cast<std::size_t>(i)];
+      lines.push_back({logs_[static_cast<std::size_t>(i)] + (f->running(i) ? f->at(i).log() : "")});
+      all.push_back(spans_of(i, lines, safe));
       spans += all.back().size();
     }
     const double most = highest_sum(all, safe);
@@ -242,36 +285,39 @@
   void f_runtime(int i) {
     if (!f) return;
     const std::lock_guard lock(f->guard(i));
-    runtime& r = f->runtime_of(i);
     auto& runs = runs_[static_cast<std::size_t>(i)];
     while (!runs.empty() && runs.front().ends <= harness::clock::now()) {
       // Counted off before it is told: the node may start the next one at once.
       --in_flight_;
-      if (f->running(i) && runs.front().of == f->port(i)) r.end(runs.front().call, "fine", runs.front().blob);
+      f->each_runtime(i, [&](runtime& r, int of) {
+        if (runs.front().of == of) r.end(runs.front().call, "fine", runs.front().blob);
+      });
       runs.pop_front();
     }
-    if (!f->running(i)) return;
-    std::string line;
-    while (r.link.readable(0)) {
-      if (!r.link.next(line)) return;
-      if (r.answer_gauges(line) || member(line, "msg") != "start") continue;
-      const int now = ++in_flight_;
-      for (int most = most_in_flight_; now > most && !most_in_flight_.compare_exchange_weak(most, now);) {
+    f->each_runtime(i, [&](runtime& r, int of) {
+      std::string line;
+      while (r.link.readable(0)) {
+        if (!r.link.next(line)) return;
+        if (r.answer_gauges(line) || member(line, "msg") != "start") continue;
+        const int now = ++in_flight_;
+        for (int most = most_in_flight_; now > most && !most_in_flight_.compare_exchange_weak(most, now);) {
+        }
+        runs.push_back({harness::clock::now() + std::chrono::milliseconds(run_ms_), of, member(line, "call"),
+                        member(line, "blob")});
       }
-      runs.push_back({harness::clock::now() + std::chrono::milliseconds(run_ms_), f->port(i),
-                      member(line, "call"), member(line, "blob")});
-    }
+    });
   }
 
   struct run {
     harness::clock::time_point ends;
-    int of = 0;  // the node's port: another one after a restart
+    int of = 0;  // the process that asked for it
     std::string call, blob;
   };
   int run_ms_;
   std::array<std::deque<run>, 9> runs_;
   std::atomic<int> in_flight_ = 0, most_in_flight_ = 0;
   std::vector<std::string> logs_;
+  std::vector<std::vector<process_line>> ended_;  // by node: of processes that were replaced
   std::array<std::atomic<int>, 9> wanted_{};
   std::array<std::atomic<long>, 9> refused_{};
   std::atomic<long> latest_refusal_ = 0;
--- a/tests/fleet/fleet.hpp
+++ b/tests/fleet/fleet.hpp
@@ -3,6 +3,7 @@
 // measurement. The seed is MARBLEWHARF_SEED's, or 1.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <set>
@@ -84,34 +85,55 @@
 
   // Starts node i, or starts it again with the same addresses.
   void start(int i) {
-    one& m = *members_[static_cast<std::size_t>(i)];
-    const std::lock_guard lock(m.guard);
-    m.n.reset();
-    node_options o;
-    o.quota = o.other_quota = 100000;
-    o.operators = operators(i);
-    o.edit_from = "\"seed\"";
-    o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(m.console) + "\",\"seed\"";
-    if (options_.edit) options_.edit(i, o);
-    m.n = std::make_unique<node>(m.r, o);
-    m.r.up();
-    m.port = m.n->port;
+    const std::lock_guard lock(guard(i));
+    member(i).now->n.reset();
+    launch(i, 0);
   }
   void kill(int i) {
     const std::lock_guard lock(guard(i));
-    members_[static_cast<std::size_t>(i)]->port = 0;
+    member(i).port = 0;
     at(i).signal(SIGKILL);
     at(i).wait();
   }
+  // A replacement: a second process of node i beside the first, with the same addresses but for runtime and console.
+  // Returns once it takes clients; at(i) is the second from then on.
+  void beside(int i) {
+    {
+      const std::lock_guard lock(guard(i));
+      one& m = member(i);
+      CHECK(m.before == nullptr);
+      m.before = std::exchange(m.now, std::make_unique<process>());
+      launch(i, m.port);
+    }
+    wait([&] { return call(console(i), "ready\n").rfind("200 yes", 0) == 0; }, i);
+  }
+  // The console of the first of the two.
+  int console_before(int i) const { return member(i).before->console; }
+  // The first of the two ends: told to leave, or killed. Returns its log.
+  std::string leave(int i, int signal = SIGTERM) {
+    one& m = member(i);
+    m.before->n->signal(signal);
+    const int status = m.before->n->wait();
+    CHECK(signal == SIGKILL || status == 0);
+    const std::lock_guard lock(m.guard);
+    const auto gone = std::exchange(m.before, nullptr);
+    return gone->n->log();
+  }
   // Held while a node starts or is killed: whoever plays its runtime beside the test holds it too.
-  std::mutex& guard(int i) const { return members_[static_cast<std::size_t>(i)]->guard; }
+  std::mutex& guard(int i) const { return member(i).guard; }
   // Where its clients connect; 0: it is not there.
-  int port(int i) const { return members_[static_cast<std::size_t>(i)]->port; }
+  int port(int i) const { return member(i).port; }
   bool running(int i) const { return port(i) != 0; }
-  node& at(int i) { return *members_[static_cast<std::size_t>(i)]->n; }
-  runtime& runtime_of(int i) { return members_[static_cast<std::size_t>(i)]->r; }
+  node& at(int i) { return *member(i).now->n; }
+  // For each process of node i that is there: its runtime, and a number that no process before it had.
+  template <typename F>
+  void each_runtime(int i, F&& f) {
+    one& m = member(i);
+    if (running(i)) f(m.now->r, m.now->number);
+    if (m.before != nullptr) f(m.before->r, m.before->number);
+  }
   int udp(int i) const { return udp_[static_cast<std::size_t>(i)]; }
-  int console(int i) const { return members_[static_cast<std::size_t>(i)]->console; }
+  int console(int i) const { return member(i).now->console; }
   // What the others send to: the relay's port for this node.
   std::string address(int i) const { return own_host() + ":" + std::to_string(relay->front(i)); }
 
@@ -166,13 +188,34 @@
   std::unique_ptr<fleet_faults::relay> relay;
 
  private:
-  struct one {
+  struct process {
     runtime r;
     int console = free_port();
+    int number = 0;
     std::unique_ptr<node> n;
+  };
+  struct one {
+    std::unique_ptr<process> now = std::make_unique<process>(), before;
     std::atomic<int> port = 0;
-    mutable std::mutex guard;
+    std::mutex guard;
   };
+  one& member(int i) const { return *members_[static_cast<std::size_t>(i)]; }
+
+  // Listens where clients connect: at `port`, or 0 for one of its own.
+  void launch(int i, int port) {
+    process& p = *member(i).now;
+    node_options o;
+    o.quota = o.other_quota = 100000;
+    o.operators = operators(i);
+    o.listen_port = port;
+    o.edit_from = "\"seed\"";
+    o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(p.console) + "\",\"seed\"";
+    if (options_.edit) options_.edit(i, o);
+    p.number = ++launched_;
+    p.n = std::make_unique<node>(p.r, o);
+    p.r.up();
+    member(i).port = p.n->port;
+  }
 
   std::string operators(int i) const {
     std::ostringstream o;
@@ -194,6 +237,7 @@
   fleet_options options_;
   std::vector<int> udp_;
   std::vector<std::unique_ptr<one>> members_;
+  std::atomic<int> launched_ = 0;
 };
 
 }  // namespace fleet_faults
--- a/tests/net/budgets_test.cpp
+++ b/tests/net/budgets_test.cpp
@@ -53,7 +53,7 @@
   s.cut({7});
   s.f->at(7).signal(SIGCONT);
   for (int look = 0; look < 10; ++look) {
-    CHECK(s.share(7) == shared_fleet::safe);
+    CHECK(s.share(7) == s.safe);
     std::this_thread::sleep_for(30ms);
   }
   s.f->relay->heal();
@@ -146,6 +146,41 @@
   s.audit();
 }
 
+// Nodes replaced one after another by second processes, the one that allocates among them, while far more runs are wanted
+// than there may be: for a while two processes of a member run side by side, and what all of them have in flight stays
+// within the whole all the same.
+void replaced() {
+  shared_fleet s({.run_ms = 150, .safe = 5});
+  s.all_want(400);
+  s.settled(everyone());
+  const int first = s.leader();
+  for (const int i : {first, (first + 1) % 9, (first + 2) % 9}) {
+    s.replace(i, [] { std::this_thread::sleep_for(2s); });  // past the lease, and past a suspicion
+    s.settled(everyone());
+  }
+  CHECK(s.f->declared_out(everyone()) == 0);
+  std::printf("most in flight at one instant: %d of %.0f\n", s.most_in_flight(), shared_fleet::whole);
+  CHECK(s.most_in_flight() <= shared_fleet::whole);
+  s.audit();
+}
+
+// Nodes killed and started anew at once, with runs longer than that takes: what the process before left at the runtime
+// still counts, its safe share too.
+void restarted_at_once() {
+  shared_fleet s({.run_ms = 700, .safe = 5});
+  s.all_want(400);
+  s.settled(everyone());
+  s.f->wait([&] { return s.in_flight() > 0.75 * shared_fleet::whole; }, 0);
+  for (const int i : {2, 5, 8}) {
+    s.kill(i);
+    s.f->start(i);
+  }
+  s.settled(everyone());
+  std::printf("most in flight at one instant: %d of %.0f\n", s.most_in_flight(), shared_fleet::whole);
+  CHECK(s.most_in_flight() <= shared_fleet::whole);
+  s.audit();
+}
+
 // The whole is of calls in flight at a dependency that all nine nodes gather from: the stand-in counts what
 // is open at one instant, while the allocator is killed and started anew and a node is paused; far more is
 // wanted all the time.
@@ -254,6 +289,8 @@
                                                    {"burst", burst},
                                                    {"far_above", far_above},
                                                    {"runs_in_flight", runs_in_flight},
+                                                   {"replaced", replaced},
+                                                   {"restarted_at_once", restarted_at_once},
                                                    {"calls_in_flight", calls_in_flight},
                                                    {"faults", faults_name_file_line_and_key}};
   tests.at(argv[1])();
--- a/tests/net/fleet_test.cpp
+++ b/tests/net/fleet_test.cpp
@@ -158,6 +158,30 @@
   f.whole();
 }
 
+// A whole zone replaced by second processes that run beside the first ones for longer than a suspicion takes, and a member
+// whose first process is killed meanwhile: nobody is held dead, no zone is declared out, each successor comes in with a
+// higher incarnation once the address is its own.
+void replaced() {
+  fleet f;
+  f.whole();
+  for (const int i : f.members_of(1, 2)) f.beside(i);
+  const auto until = harness::clock::now() + 4s;
+  while (harness::clock::now() < until) {
+    for (const int console : {f.console(0), f.console(8), f.console_before(4)})
+      CHECK(call(console, "show-members\n").find(" dead ") == std::string::npos);
+    std::this_thread::sleep_for(50ms);
+  }
+  for (const int i : f.members_of(1, 2)) {
+    CHECK(figure(f.console(i), "fleet.joined") == 0);
+    f.leave(i, i == 4 ? SIGKILL : SIGTERM);
+  }
+  f.whole();
+  for (const int i : f.members_of(1, 2)) f.at(i).logged("is this process's now");
+  std::this_thread::sleep_for(3s);  // past the start's grace
+  f.whole();
+  CHECK(f.declared_out(f.all()) == 0);
+}
+
 // ---- Calls kept near --------------------------------------------------------------------------------------
 
 // All well: every call stays in the zone. Its endpoints broken: the region takes them. The region's other zone declared
@@ -226,6 +250,7 @@
   else if (name == "flapping") flapping();
   else if (name == "heal_at_once") two_partitions_heal_at_once();
   else if (name == "lossy") lossy();
+  else if (name == "replaced") replaced();
   else if (name == "near") near_while_safe();
   else if (name == "cut_off_serves") cut_off_serves_on();
   else CHECK(false);
