Do not take a segment that aged and went for one that is missing at the next start

Cause: found by the new test of writes that stay open for long: after a kill the node did not start, with 'missing, and what is in it has not aged'. Ruled out: the ageing clock (the removal was due), a lost rename (the folder was synced).

The change: a segment goes by a rename to NUMBER.seg.aged, the folder synced, the file emptied; the name goes with the first later header that is dated behind it. A rename needs no room on a full disk.

--- a/src/store/log.cpp
+++ b/src/store/log.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view suffix = ".seg";
 constexpr std::string_view aside_suffix = ".seg.aside";
+constexpr std::string_view aged_suffix = ".seg.aged";
 constexpr std::size_t digits = 16;
 
 std::string name_of(std::uint64_t number) {
@@ -38,6 +39,7 @@
   recovered_counts counts;
   bool spare = false;
   std::uint64_t highest = 0;  // number ever seen, also set aside
+  std::map<std::uint64_t, std::int64_t> aged;  // gone, with what a header says of their ageing; 0: none does
 };
 
 // Two passes over the headers and one over the data: what counts of a segment is said by the one behind it.
@@ -48,11 +50,13 @@
   for (const std::string& name : fs.list(folder)) {
     if (const auto n = number_of(name, suffix)) numbers.push_back(*n);
     if (const auto n = number_of(name, aside_suffix)) aside.push_back(*n);
+    if (const auto n = number_of(name, aged_suffix)) found.aged[*n] = 0;
     found.spare = found.spare || name == "spare";
   }
   std::sort(numbers.begin(), numbers.end());
   if (!numbers.empty()) found.highest = numbers.back();
   for (const std::uint64_t n : aside) found.highest = std::max(found.highest, n);
+  if (!found.aged.empty()) found.highest = std::max(found.highest, found.aged.rbegin()->first);
   const auto path_of = [&](std::uint64_t n) { return folder + "/" + name_of(n) + std::string(suffix); };
   std::map<std::uint64_t, segment_header> headers;
   for (const std::uint64_t n : numbers) {
@@ -84,7 +88,9 @@
   }
   // Guards against a segment that somebody took away while what is in it still counts.
   for (const auto& [n, h] : headers) {
+    if (const auto gone = found.aged.find(h.previous); gone != found.aged.end()) gone->second = h.previous_expiry;
     if (h.previous == 0 || headers.contains(h.previous) || h.previous_expiry <= found.counts.latest) continue;
+    if (found.aged.contains(h.previous)) continue;
     if (std::find(aside.begin(), aside.end(), h.previous) == aside.end())
       throw damaged(path_of(h.previous) + ": missing, and what is in it has not aged");
   }
@@ -107,6 +113,8 @@
     if (s.size > s.end) fs_.truncate(path_of(s.number), s.end);
   }
   if (found.spare) fs_.remove(options_.folder + "/spare");
+  aged_ = found.aged;
+  for (const auto& [number, expiry] : aged_) fs_.truncate(aged_path_of(number), 0);
 }
 
 log::~log() = default;
@@ -125,6 +133,10 @@
   return options_.folder + "/" + file_name(number);
 }
 
+std::string log::aged_path_of(std::uint64_t number) const {
+  return options_.folder + "/" + name_of(number) + std::string(aged_suffix);
+}
+
 void log::open(std::int64_t now) {
   if (active_ != nullptr) return;
   if (spare_ == nullptr && !set_spare_aside()) throw io_error(options_.folder + ": no room for a segment");
@@ -165,6 +177,28 @@
   number_ = h.number;
   end_ = header_size;
   expiry_ = 0;
+  // From this header on the folder itself says how late it is.
+  for (auto i = aged_.begin(); i != aged_.end();) {
+    if (i->second > now) {
+      ++i;
+      continue;
+    }
+    try {
+      fs_.remove(aged_path_of(i->first));
+      i = aged_.erase(i);
+    } catch (const io_error&) {  // tried again with the next
+      ++i;
+    }
+  }
+}
+
+// All in it has aged. Its name stays, empty, until a later header is as late as that: a start before then would not know
+// the hour, and take the segment for one that somebody took away. A rename needs no room on a disk that is full.
+void log::retire(std::uint64_t number, std::int64_t expiry) {
+  fs_.rename(path_of(number), aged_path_of(number));
+  aged_.emplace(number, expiry);
+  fs_.sync_folder(options_.folder);
+  fs_.truncate(aged_path_of(number), 0);
 }
 
 void log::seal(std::int64_t now) {
@@ -239,10 +273,12 @@
       continue;
     }
     try {
-      fs_.remove(path_of(i->first));
-    } catch (const io_error&) {  // tried again
-      ++i;
-      continue;
+      retire(i->first, i->second.expiry);
+    } catch (const io_error&) {  // tried again, unless it has gone and only its room is still taken
+      if (!aged_.contains(i->first)) {
+        ++i;
+        continue;
+      }
     }
     i = sealed_.erase(i);
   }
--- a/src/store/log.hpp
+++ b/src/store/log.hpp
@@ -2,7 +2,8 @@
 //
 // Order on disk, so that any prefix of it is consistent: a spare file is set aside with its blocks; it gets a header
 // that says what counts of the segment before, is synced, renamed into place, and the folder synced; only then it is
-// written to. Segments go whole, once all in them has aged. The source of the discipline is write-ahead logging as
+// written to. Segments go whole, once all in them has aged: renamed, the folder synced, and emptied; the name goes with the
+// first later header that is dated behind that. The source of the discipline is write-ahead logging as
 // embedded databases have it, without the log's second copy: the log is the store.
 #pragma once
 
@@ -89,6 +90,8 @@
   std::string path_of(std::uint64_t number) const;
   void seal(std::int64_t now);
   void activate(std::int64_t now);
+  void retire(std::uint64_t number, std::int64_t expiry);
+  std::string aged_path_of(std::uint64_t number) const;
   bool set_spare_aside();
 
   file_system& fs_;
@@ -96,6 +99,7 @@
   std::shared_ptr<void> lock_;
   recovered_counts counts_;
   std::map<std::uint64_t, sealed> sealed_;  // by number
+  std::map<std::uint64_t, std::int64_t> aged_;  // gone, but for their names: when all in them had aged
   std::unique_ptr<file> active_;
   std::unique_ptr<file> spare_;
   std::uint64_t number_ = 0;    // of the active segment, or the last one
--- a/tests/keyed/store_test.cpp
+++ b/tests/keyed/store_test.cpp
@@ -298,6 +298,73 @@
   CHECK(n > first + first / 2);
 }
 
+// A segment that has aged goes while the one behind it has been open for long: a start then knows no later hour than that
+// one's first, and must not take the segment for missing. With each call failing in turn, also with the power lost.
+void goes_before_a_later_header() {
+  const auto play = [](std::uint64_t fail_at, crash::fault how, unsigned seed) {
+    crash::fs fs;
+    fs.fail_at = fail_at;
+    fs.how = how;
+    std::mt19937 random(seed);
+    std::map<std::uint64_t, int> ran;
+    moment now = 5000;
+    std::set<std::uint64_t> served;  // and have not aged
+    const auto segments = [&] {
+      std::size_t n = 0;
+      for (const auto& [path, bytes] : fs.image()) n += path.ends_with(".seg");
+      return n;
+    };
+    std::unique_ptr<small_node> node;
+    std::uint64_t n = 0, before = 0;
+    try {
+      node = std::make_unique<small_node>(fs, ran, now);
+      while (segments() < 4 && n < 200) {
+        node->write(++n);
+        now = node->now;
+      }
+      now = node->now += 2 * far_off;
+      node->book.age(now);
+      before = segments();
+      try {
+        node->disk->tidy(now);
+      } catch (const store::io_error&) {
+      }
+      if (fail_at == 0) CHECK(segments() < before);
+      for (int i = 0; i < 3; ++i)
+        if (node->write(++n).first == small_node::told::served) served.insert(n);
+      now = node->now;
+    } catch (const crash::crashed&) {
+      node.reset();
+      fs.restart(random);
+    }
+    const std::uint64_t calls = fs.calls;
+    fs.fail_at = 0;
+    for (int start = 0; start < 3; ++start) {
+      node.reset();
+      node = std::make_unique<small_node>(fs, ran, now);  // throws `damaged` where it takes one for missing
+      for (const std::uint64_t k : served) CHECK(node->write(k).first == small_node::told::served);
+      for (const auto& [k, times] : ran) CHECK(times <= 1);
+    }
+    // Room comes back, and the names go.
+    for (int round = 0; round < 4; ++round) {
+      now = node->now += 2 * far_off;
+      node->book.age(now);
+      for (int i = 0; i < 40; ++i) node->write(++n);
+    }
+    CHECK(node->disk->used() <= 40960);
+    std::size_t names = 0;
+    for (const auto& [path, bytes] : fs.image()) names += path.ends_with(".aged");
+    CHECK(names <= 12);
+    return calls;
+  };
+  const std::uint64_t calls = play(0, crash::fault::none, 1);
+  for (std::uint64_t at = 1; at <= calls; ++at) {
+    play(at, crash::fault::error, 1);
+    for (unsigned seed = 1; seed <= 6; ++seed) play(at, crash::fault::power_loss, seed);
+  }
+  std::printf("each of %llu calls\n", static_cast<unsigned long long>(calls));
+}
+
 // A clock that is set back keeps no key longer than its window and dates none before others; a long stop ages them.
 void the_clock_does_not_go_back() {
   const ageing_clock back(10s, 1000s, 5s);
@@ -411,6 +478,7 @@
                                                    {"cuts", each_byte_cut},
                                                    {"changes", each_byte_changed},
                                                    {"ageing", ages_and_makes_room},
+                                                   {"gone", goes_before_a_later_header},
                                                    {"clock", the_clock_does_not_go_back},
                                                    {"steps", only_the_steps_of_the_table},
                                                    {"inquiry", inquiries_are_bounded},
