--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -92,6 +92,7 @@
   std::string step_var, id_var;  // tell a participant its step, and the write by its id
   std::chrono::nanoseconds retry = std::chrono::milliseconds(200);  // of a step that nobody answered; then doubled
   std::chrono::nanoseconds longest_retry = std::chrono::seconds(5);
+  std::size_t outcomes = 1'000'000;  // known at once, by key: about 100 bytes each
 };
 
 // A fleet of price nodes that learn each other and decide zones out in common (docs/failover.md), from the
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -183,7 +183,8 @@
     static cfg_opt_t writes[] = {CFG_STR("folder", nullptr, CFGF_NONE),     CFG_STR("segment", "8MiB", CFGF_NONE),
                                  CFG_STR("space", "256MiB", CFGF_NONE),     CFG_STR("step_var", nullptr, CFGF_NONE),
                                  CFG_STR("id_var", nullptr, CFGF_NONE),     CFG_STR("retry", "200ms", CFGF_NONE),
-                                 CFG_STR("longest_retry", "5s", CFGF_NONE), CFG_END()};
+                                 CFG_STR("longest_retry", "5s", CFGF_NONE),
+                                 CFG_STR("outcomes", "1000000", CFGF_NONE), CFG_END()};
     static cfg_opt_t part[] = {CFG_STR("class", nullptr, CFGF_NONE), CFG_STR("from", nullptr, CFGF_NONE),
                                CFG_STR("required", "no", CFGF_NONE), CFG_STR_LIST("fallback", nullptr, CFGF_NONE),
                                CFG_END()};
@@ -588,6 +589,7 @@
     w.space = s.bytes("space", 4 * w.segment, std::uint64_t{1} << 50);
     w.retry = s.time("retry", 10ms, 60s);
     w.longest_retry = s.time("longest_retry", w.retry, 3600s);
+    w.outcomes = s.count("outcomes", 1, 100'000'000);
     c.writes = std::move(w);
   }
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -99,6 +99,19 @@
   }
 }
 
+void dispatcher::on_turned_away(request_id id, duration come_back) {
+  const auto at = table_.find(id);
+  if (at == table_.end() || !at->second.started) return;
+  const answer final{.how = verdict::refused, .retry_after = come_back};
+  if (at->second.leads) {
+    turn_leader_away(at, final);
+    return;
+  }
+  conclude(at, final);
+  admission_.report(ended{id, run_end::never_started, {}});
+  table_.erase(at);
+}
+
 void dispatcher::on_call_needed(request_id id) {
   const auto at = table_.find(id);
   if (at != table_.end() && at->second.started) admission_.report(needs_call{id});
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -66,6 +66,8 @@
   request_id on_arrival(front& from, backend& to, request what);
   void on_gone(request_id id);  // no answer is owed any longer
   void on_end(request_id id, run_end how, std::string_view result, duration elapsed);
+  // A backend has no room for a run that it was handed, and nothing of it began: refused, with the time to return.
+  void on_turned_away(request_id id, duration come_back);
   // A run cannot go on before it has called others; it has what it called for, or gave up on it.
   void on_call_needed(request_id id);
   void on_call_ended(request_id id, duration elapsed);
@@ -143,6 +145,7 @@
   void gone_with_key(table::iterator at);
   void end_of_leader(table::iterator at, run_end how, std::string_view result, duration elapsed);
   void pause_leader(table::iterator at);
+  void turn_leader_away(table::iterator at, const answer& final);
   void fail_leader(table::iterator at, const answer& final);
   void leave_leader(table::iterator at);
   void ask(table::iterator at);
--- a/src/core/dispatcher_keys.cpp
+++ b/src/core/dispatcher_keys.cpp
@@ -109,6 +109,14 @@
   }
 }
 
+// Its intent is on disk, and is taken back: after a crash before that the key is in doubt, and the backend knows better.
+void dispatcher::turn_leader_away(table::iterator at, const answer& final) {
+  if (at->second.leads->where != lead::stage::handed) return;
+  keys_->release(at->first);
+  tell_all(at, final, run_end::never_started);
+  close_leader(at, run_end::never_started);
+}
+
 void dispatcher::record(table::iterator at, bool served, std::string_view result) {
   lead& l = *at->second.leads;
   l.where = lead::stage::recording;
--- a/src/dependencies/gatherer.hpp
+++ b/src/dependencies/gatherer.hpp
@@ -45,9 +45,10 @@
   void set_share(std::size_t dependency, double most) { conductor_.set_share(dependency, most); }
   struct calls {
     std::size_t in_flight = 0, waiting = 0;
+    std::uint64_t turned_away = 0;  // since the start, for want of room
   };
   calls calls_at(std::size_t dependency) const {
-    return {conductor_.in_flight(dependency), conductor_.waiting(dependency)};
+    return {conductor_.in_flight(dependency), conductor_.waiting(dependency), conductor_.counts(dependency).no_room};
   }
   // For show-stat, of dependencies whose endpoints have places: calls by nearness.
   std::string figures() const;
--- /dev/null
+++ b/src/dependencies/outcomes.cpp
@@ -0,0 +1,37 @@
+#include "dependencies/outcomes.hpp"
+
+namespace marblewharf::dependencies {
+
+void outcomes::begin(const key& k, std::uint64_t which) {
+  table_[k] = {which, standing::under_way, {}};
+}
+
+void outcomes::undone(const key& k, std::uint64_t which) {
+  const auto at = table_.find(k);
+  if (at != table_.end() && at->second.which == which && at->second.how == standing::under_way) table_.erase(at);
+}
+
+void outcomes::committed(const key& k, std::uint64_t which, const store::position& at, moment expiry) {
+  const auto found = table_.find(k);
+  if (found == table_.end() || found->second.which != which) return;
+  found->second.how = standing::committed;
+  found->second.at = at;
+  ageing_.push_back({expiry, which, k});
+}
+
+outcomes::known outcomes::of(const key& k) const {
+  const auto at = table_.find(k);
+  return at == table_.end() ? known{} : known{at->second.how, at->second.at};
+}
+
+void outcomes::age(moment now) {
+  while (!ageing_.empty() && ageing_.front().expiry <= now) {
+    const due next = ageing_.front();
+    ageing_.pop_front();
+    const auto at = table_.find(next.k);
+    // Not one that began anew since: that has a number of its own.
+    if (at != table_.end() && at->second.which == next.which) table_.erase(at);
+  }
+}
+
+}  // namespace marblewharf::dependencies
--- a/src/dependencies/transaction.cpp
+++ b/src/dependencies/transaction.cpp
@@ -100,7 +100,7 @@
       // it is written again.
       if (!durable) {
         if (last_agent()) {
-          act(write_mark{log_mark::decided});
+          rewrite_ = true;
         } else {
           decide(false);
         }
@@ -112,7 +112,7 @@
       break;
     case log_mark::aborted:
       if (!durable && mark_tried_) {  // a mark before it may yet turn up after a crash
-        act(write_mark{log_mark::aborted});
+        rewrite_ = true;
         return;
       }
       // Else presumed abort: where this mark is missing, so is every later one.
@@ -120,7 +120,14 @@
       stage_ = stage::aborting;
       drive(step_kind::abort);
       break;
-    case log_mark::over: stage_ = stage::over; break;
+    case log_mark::over:
+      // Without it a start would take it up again, and nobody could be told its result.
+      if (durable) {
+        stage_ = stage::over;
+      } else {
+        rewrite_ = true;
+      }
+      break;
   }
 }
 
@@ -214,6 +221,7 @@
 }
 
 void transaction::again() {
+  if (stage_ == stage::marking && std::exchange(rewrite_, false)) act(write_mark{marking_});
   for (participant& p : all_) p.failed_once = false;
   if (stage_ == stage::committing || stage_ == stage::asking_last) drive(step_kind::commit);
   if (stage_ == stage::aborting) drive(step_kind::abort);
--- a/src/dependencies/transaction.hpp
+++ b/src/dependencies/transaction.hpp
@@ -62,7 +62,7 @@
   void on_logged(log_mark what, bool durable);
   // Its time for a decision is over: nothing that is not decided yet goes on.
   void on_deadline();
-  // A step that brought nothing may be taken again.
+  // A step that brought nothing may be taken again, and a mark that the disk did not take be written again.
   void again();
 
   // The next action; none: something has to happen first.
@@ -95,6 +95,7 @@
   bool decided_ = false;
   bool refused_ = false;  // somebody said no, or time is over: to be aborted
   bool mark_tried_ = false;  // a mark that leads to commits may be on disk: 'failed' is sure only behind 'aborted'
+  bool rewrite_ = false;     // the mark of this stage did not get on disk, and has to
   std::vector<tx_action> actions_;
   std::size_t taken_ = 0;
 };
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "dependencies/compose.hpp"
+#include "keyed/records.hpp"
 #include "uwsgi/packet.hpp"
 
 namespace marblewharf::dependencies {
@@ -84,6 +85,7 @@
 
 struct writer::write {
   write_id id;
+  std::uint64_t number = 0;  // in this process
   std::size_t request_class = 0;
   std::string key;
   std::string payload;
@@ -93,10 +95,15 @@
   time_point begun{};
   time_point decide_by = time_point::max();
   time_point again_at{};
-  duration pause{};  // before the next again
+  time_point renew_at{};  // its marks on disk, before they age
+  time_point due{};       // in due_
+  duration pause{};       // before the next again
+  bool waits = false;     // found on disk, for room to go on
   bool committed = false;
-  std::int64_t expiry = 0;
-  log_mark recovered{};
+  log_mark on_disk{};     // the last one; 0 = none
+  std::uint64_t room = 0; // of reserved_
+  store::position result_at;
+  std::int64_t result_expiry = 0;
   std::vector<std::shared_ptr<uwsgi::exchange>> talks;  // by participant
   std::vector<part_result> results;                     // by participant, of its commit
   std::vector<endpoint> at;                             // by participant: the one endpoint that all its steps go to
@@ -108,39 +115,95 @@
         route(p.participants.size()), asked(p.participants.size()) {}
 };
 
-writer::writer(net::reactor& r, const config& settings, dispatcher& d, backend& behind, store::file_system& fs,
+namespace {
+
+std::vector<double> bounds_of(const dependencies_config& all) {
+  std::vector<double> most;
+  for (const dependency_rules& r : all.rules) most.push_back(r.most_in_flight);
+  return most;
+}
+
+duration longest_window(const writes_config& w) {
+  duration longest{};
+  for (const write_plan& p : w.plans) longest = std::max(longest, p.window);
+  return longest;
+}
+
+}  // namespace
+
+writer::writer(net::reactor& r, const config& settings, dispatcher& d, gatherer& behind, store::file_system& fs,
                std::uint64_t random, std::function<void()> notify)
-    : reactor_(r), config_(settings), dispatcher_(d), behind_(behind), random_(random), draws_(random) {
-  const writes_config& w = *config_.writes;
+    : reactor_(r),
+      config_(settings),
+      dispatcher_(d),
+      behind_(behind),
+      fs_(fs),
+      notify_(std::move(notify)),
+      keep_(longest_window(*settings.writes)),
+      random_(random),
+      draws_(random),
+      calls_(bounds_of(*settings.dependencies),
+             [this](std::size_t dependency) { return behind_.calls_at(dependency).in_flight; }),
+      outcomes_(settings.writes->outcomes) {
   for (const dependency_rules& rules : config_.dependencies->rules)
     routes_.emplace_back(rules.endpoints, rules.health, rules.near);
+  try {
+    open_folder();
+  } catch (const store::held& e) {  // a process before this one still has it: a replacement
+    log("handover", "%s: writes are turned away until it lets go", e.what());
+    next_try_ = net::steady_now() + config_.keyed->retry_disk;
+  }
+}
+
+writer::~writer() = default;
+
+void writer::open_folder() {
+  const writes_config& w = *config_.writes;
   store::log_options o;
   o.folder = w.folder;
   o.segment = w.segment;
   o.space = w.space;
-  o.salt = random;
+  o.salt = random_;
   auto marks = std::make_unique<store::log>(
-      fs, o,
+      fs_, o,
       [](std::uint32_t type, std::string_view body) {
         const auto m = decode(type, body);
         return m ? m->expiry : 0;
       },
-      [this](std::uint32_t type, std::string_view body, const store::position&) { recover(type, body); });
+      [this](std::uint32_t type, std::string_view body, const store::position& at) { recover(type, body, at); });
   clock_ = keyed::ageing_clock(std::chrono::system_clock::now().time_since_epoch(),
                                std::chrono::nanoseconds(marks->counts().latest), net::steady_now());
   marks->open(now());
-  store::committer_options c;
+  outcomes_.age(now());
   committer_ = std::make_unique<store::committer>(
-      std::move(marks), c,
-      [clock = clock_] { return clock.at(std::chrono::steady_clock::now().time_since_epoch()); }, std::move(notify));
+      std::move(marks), store::committer_options{},
+      [clock = clock_] { return clock.at(std::chrono::steady_clock::now().time_since_epoch()); }, notify_);
+  std::vector<store::committer::done> none;
+  disk_ = committer_->collect(none);
   log("writes", "%s: %zu open, %zu outcomes known", w.folder.c_str(), open_.size(), outcomes_.size());
-  for (const auto& [id, open] : std::unordered_map(open_)) {
-    open->machine.resume(open->recovered);
-    advance(open);
+  for (const auto& [id, open] : open_) {
+    open->room = room_of(open->payload.size());
+    reserved_ += open->room;
+    waiting_ += open->waits = true;
+    // Not known here how long its marks still stand: they are renewed at the first look.
+    open->renew_at = open->again_at = open->begun;
+    schedule(*open);
   }
 }
 
-writer::~writer() = default;
+void writer::take_folder_over(time_point steady) {
+  next_try_ = steady + config_.keyed->retry_disk;
+  try {
+    open_folder();
+    next_try_ = time_point::max();
+    log("handover", "%s taken over", config_.writes->folder.c_str());
+  } catch (const store::held&) {  // not yet
+  } catch (const std::exception& e) {  // it cannot be read: writes stay turned away
+    open_.clear();
+    outcomes_ = outcomes(config_.writes->outcomes);
+    log("handover", "%s cannot be taken over: %s", config_.writes->folder.c_str(), e.what());
+  }
+}
 
 std::int64_t writer::now() const {
   return clock_.at(net::steady_now());
@@ -157,6 +220,18 @@
   return key += what.key;
 }
 
+// Under a salt of this process's own: the keys themselves stand on disk.
+outcomes::key writer::hash_of(const std::string& key) const {
+  const keyed::key_id h = keyed::hash_of({}, {}, key, random_);
+  return {h.low, h.high};
+}
+
+const write_plan* writer::plan_of(const request& what) const {
+  for (const write_plan& p : config_.writes->plans)
+    if (p.request_class == what.request_class) return &p;
+  return nullptr;
+}
+
 std::shared_ptr<writer::write> writer::make(const write_id& id, std::size_t request_class, std::string payload,
                                             std::string key) {
   const write_plan* plan = nullptr;
@@ -169,22 +244,22 @@
     kinds.push_back(config_.dependencies->endpoints[p].one_phase ? part_kind::one_phase : part_kind::two_phase);
   auto w = std::make_shared<write>(std::move(kinds), *plan);
   w->id = id;
+  w->number = ++last_number_;
   w->request_class = request_class;
   w->payload = std::move(payload);
   w->key = std::move(key);
   w->begun = net::steady_now();
   w->pause = config_.writes->retry;
   w->again_at = w->begun + w->pause;
+  w->renew_at = w->begun + keep_ / 2;
   for (const std::size_t p : plan->participants) w->at.push_back(config_.dependencies->endpoints[p].at.front());
   return w;
 }
 
-// Once for each write, before it begins: what a participant has promised its endpoint alone knows. Where places are not
-// known it is the first.
+// Once for each write, before it begins: what a participant has promised its endpoint alone knows.
 void writer::choose_endpoints(write& w) {
   for (std::size_t i = 0; i < w.at.size(); ++i) {
     const std::size_t d = w.plan->participants[i];
-    if (config_.dependencies->endpoints[d].places.empty()) continue;
     w.route[i] = routes_[d].choose(w.begun, draws_(), true).value_or(0);
     w.at[i] = config_.dependencies->endpoints[d].at[w.route[i]];
   }
@@ -209,10 +284,15 @@
   }
 }
 
-void writer::recover(std::uint32_t type, std::string_view body) {
+// A record with a class begins a write, or says all of it anew; one without carries it on. The marks of a write have an
+// order, in which the last one counts: what was renewed while another mark was on its way must not take that back.
+void writer::recover(std::uint32_t type, std::string_view body, const store::position& position) {
   const auto m = decode(type, body);
   if (!m) return;
-  if (m->what == log_mark::begun) {
+  latest_expiry_ = std::max(latest_expiry_, m->expiry);
+  const auto known = open_.find(m->id);
+  if (known == open_.end()) {
+    if (m->request_class.empty()) return;
     std::size_t i = 0;
     while (i < config_.settings.classes.size() && config_.settings.classes[i].name != m->request_class) ++i;
     auto w = i < config_.settings.classes.size() ? make(m->id, i, m->payload, m->key) : nullptr;
@@ -220,54 +300,78 @@
       log("writes", "a write of %s is open and has no plan any more: it is left as it is", m->request_class.c_str());
       return;
     }
-    w->expiry = m->expiry;
-    w->recovered = log_mark::begun;
+    w->on_disk = m->what;
     std::istringstream at(m->endpoints);
     std::string address;
     for (std::size_t p = 0; p < w->at.size() && at >> address; ++p) {
       const std::size_t colon = address.rfind(':');
       w->at[p] = {address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
-      const auto& known = config_.dependencies->endpoints[w->plan->participants[p]].at;
-      w->route[p] = static_cast<std::size_t>(std::find(known.begin(), known.end(), w->at[p]) - known.begin());
+      const auto& configured = config_.dependencies->endpoints[w->plan->participants[p]].at;
+      w->route[p] = static_cast<std::size_t>(std::find(configured.begin(), configured.end(), w->at[p]) - configured.begin());
     }
-    outcomes_[w->key] = {false, false, w->id, {}, m->expiry};
+    w->committed = m->what == log_mark::decided;
+    outcomes_.begin(hash_of(w->key), w->number);
     open_[m->id] = std::move(w);
     return;
   }
-  const auto at = open_.find(m->id);
-  if (at == open_.end()) return;
-  at->second->recovered = m->what;
-  if (m->what == log_mark::decided) at->second->committed = true;
+  write& w = *known->second;
+  w.on_disk = std::max(w.on_disk, m->what);
+  if (m->what == log_mark::decided) w.committed = true;
   if (m->what != log_mark::over) return;
-  outcomes_[at->second->key] = {true, m->committed, m->id, m->payload, m->expiry};
-  open_.erase(at);
+  if (m->committed) {
+    outcomes_.committed(hash_of(w.key), w.number, position, m->expiry);
+  } else {
+    outcomes_.undone(hash_of(w.key), w.number);
+  }
+  open_.erase(known);
 }
 
 // ---- backend ----------------------------------------------------------------------------------------------
 
+// Bytes on disk that a write may take: its marks, some of them twice, and its result.
+std::uint64_t writer::room_of(std::size_t payload) const {
+  constexpr std::uint64_t marks = 8, names = 1024;
+  return marks * store::room_for(payload + names) + store::room_for(config_.bounds.write_buffer);
+}
+
+// Why a write cannot begin now, as the time after which it is worth coming back.
+std::optional<duration> writer::no_room(const write_plan& plan, const request& what) {
+  constexpr duration soon = std::chrono::seconds(1);
+  if (!committer_ || !disk_.writable) return config_.keyed->retry_disk;
+  const auto until = [&](std::int64_t when) { return std::max<duration>(soon, duration(when - now())); };
+  if (disk_.room < reserved_ + room_of(what.payload.size())) return until(disk_.next_ageing);
+  if (!outcomes_.room()) return until(outcomes_.next_ageing());
+  if (!calls_.take(plan.participants)) return config_.writes->retry;
+  return std::nullopt;
+}
+
 void writer::run(request_id id, const request& what) {
-  char name[id_size + 1];
-  std::snprintf(name, sizeof name, "%016llx%016llx", static_cast<unsigned long long>(random_),
-                static_cast<unsigned long long>(static_cast<std::uint64_t>(now()) + ++last_number_));
-  const auto w = make(name, what.request_class, what.payload, key_of(what));
-  if (!w) {
+  const write_plan* plan = plan_of(what);
+  if (plan == nullptr) {
     behind_.run(id, what);
     return;
   }
-  const std::uint64_t needed = 8 * store::room_for(what.payload.size() + 1024) + store::room_for(config_.bounds.write_buffer);
-  if (!writable_ || room_ < needed * (open_.size() + 1)) {
+  if (const auto come_back = no_room(*plan, what)) {
+    ++turned_away_;
     reactor_.wake();
-    dispatcher_.on_end(id, run_end::never_started, {}, {});
+    dispatcher_.on_turned_away(id, *come_back);
     return;
   }
+  char name[id_size + 1];
+  std::snprintf(name, sizeof name, "%016llx%016llx", static_cast<unsigned long long>(random_),
+                static_cast<unsigned long long>(static_cast<std::uint64_t>(now()) + last_number_ + 1));
+  const auto w = make(name, what.request_class, what.payload, key_of(what));
   w->owner = id;
   choose_endpoints(*w);
   const auto& c = config_.settings.classes[what.request_class];
   w->decide_by = what.arrived + (c.aim.count() > 0 ? c.aim : c.deadline) - w->plan->reserve;
-  w->expiry = now() + w->plan->window.count();
+  w->room = room_of(what.payload.size());
+  reserved_ += w->room;
+  share_changed(*w);
   runs_[id] = w->id;
   open_[w->id] = w;
-  outcomes_[w->key] = {false, false, w->id, {}, w->expiry};
+  outcomes_.begin(hash_of(w->key), w->number);
+  schedule(*w);
   w->machine.begin();
   advance(w);
 }
@@ -290,58 +394,117 @@
 }
 
 bool writer::inquire(request_id id, const request& what) {
-  const auto known = outcomes_.find(key_of(what));
-  if (known == outcomes_.end()) {
-    const bool ours = std::any_of(config_.writes->plans.begin(), config_.writes->plans.end(),
-                                  [&](const write_plan& p) { return p.request_class == what.request_class; });
-    if (!ours) return behind_.inquire(id, what);
-    // Nothing of it was ever on disk: nobody was asked.
-    reactor_.wake();
-    dispatcher_.on_inquired(id, inquiry_end::never_ran, {});
+  if (plan_of(what) == nullptr) return behind_.inquire(id, what);
+  reactor_.wake();
+  if (!committer_) {  // what another process has in the folder is not known here
+    dispatcher_.on_inquired(id, inquiry_end::unknown, {});
     return true;
   }
-  const outcome& o = known->second;
-  reactor_.wake();
-  dispatcher_.on_inquired(id, !o.over        ? inquiry_end::unknown
-                              : o.committed ? inquiry_end::result
-                                            : inquiry_end::never_ran,
-                          std::string(o.result));
+  const outcomes::known o = outcomes_.of(hash_of(key_of(what)));
+  switch (o.how) {
+    // Nothing of it was ever on disk, so nobody was asked; or it was undone.
+    case outcomes::standing::unknown: dispatcher_.on_inquired(id, inquiry_end::never_ran, {}); break;
+    case outcomes::standing::under_way: dispatcher_.on_inquired(id, inquiry_end::unknown, {}); break;
+    case outcomes::standing::committed:
+      if (committer_->read(++last_ticket_, o.at)) {
+        reads_[last_ticket_] = id;
+      } else {
+        dispatcher_.on_inquired(id, inquiry_end::unknown, {});
+      }
+      break;
+  }
   return true;
 }
 
+void writer::set_share(std::size_t dependency, double most) {
+  calls_.set_share(dependency, most);
+  behind_.set_share(dependency, calls_.left(dependency));
+}
+
+gatherer::calls writer::calls_at(std::size_t dependency) const {
+  gatherer::calls c = behind_.calls_at(dependency);
+  c.in_flight += calls_.writes(dependency);
+  c.waiting += waiting_;
+  c.turned_away += calls_.turned_away(dependency);
+  return c;
+}
+
+// Its calls were taken or given back: what gathers at the same dependencies has the rest of the share.
+void writer::share_changed(const write& w) {
+  for (const std::size_t d : w.plan->participants) behind_.set_share(d, calls_.left(d));
+}
+
+std::string writer::figures() const {
+  return "writes.open=" + std::to_string(open_.size()) + "\nwrites.outcomes=" + std::to_string(outcomes_.size()) +
+         "\nwrites.turned_away=" + std::to_string(turned_away_) + "\nwrites.holds_folder=" + (committer_ ? "1" : "0") + "\n";
+}
+
 // ---- Steps and marks --------------------------------------------------------------------------------------
 
 void writer::advance(const std::shared_ptr<write>& w) {
   while (const auto a = w->machine.pick()) {
     if (const auto* s = std::get_if<take_step>(&*a)) {
       take(w, *s);
-    } else if (const auto* m = std::get_if<write_mark>(&*a)) {
+      continue;
+    }
+    if (const auto* m = std::get_if<write_mark>(&*a)) {
       mark(w, m->what);
-    } else if (std::get<answer_now>(*a).how == tx_answer::failed && w->owner != 0) {
-      const request_id id = std::exchange(w->owner, 0);
-      runs_.erase(id);
-      reactor_.wake();
-      dispatcher_.on_end(id, run_end::never_started, {}, net::steady_now() - w->begun);
-    }  // committed: with the result, once all is over; under way: the dispatcher's own deadline says so
+      continue;
+    }
+    // Under way: the dispatcher's own deadline says so.
+    const tx_answer how = std::get<answer_now>(*a).how;
+    if (how == tx_answer::under_way || w->owner == 0) continue;
+    const request_id id = std::exchange(w->owner, 0);
+    runs_.erase(id);
+    reactor_.wake();
+    const bool whole = how == tx_answer::committed;
+    dispatcher_.on_end(id, whole ? run_end::fine : run_end::never_started, whole ? compose_result(*w) : std::string(),
+                       net::steady_now() - w->begun);
   }
   if (w->machine.where() == transaction::stage::over) finish(w);
 }
 
-void writer::mark(const std::shared_ptr<write>& w, log_mark m) {
-  mark_record r{w->id, w->expiry, m, w->committed, {}, {}, {}, {}};
-  if (m == log_mark::begun) {
+// Marks of all writes age in the order in which they were written, so that none goes before one that it takes back. Those
+// of a write that is still open are renewed before that.
+void writer::mark(const std::shared_ptr<write>& w, log_mark m, bool renewed) {
+  latest_expiry_ = std::max(latest_expiry_, now() + keep_.count());
+  mark_record r{w->id, latest_expiry_, m, w->committed, {}, {}, {}, {}};
+  if (m == log_mark::begun || renewed) {
     r.request_class = config_.settings.classes[w->request_class].name;
     r.key = w->key;
     r.payload = w->payload;
     for (const endpoint& e : w->at) r.endpoints += (r.endpoints.empty() ? "" : " ") + e.host + ":" + std::to_string(e.port);
   }
-  if (m == log_mark::over && w->committed) r.payload = compose_result(*w);
-  const std::uint64_t ticket = ++last_ticket_;
-  marks_[ticket] = {w->id, m};
-  if (!committer_->write(ticket, {{record_type, encode(r)}, w->expiry})) {
-    marks_.erase(ticket);
-    w->machine.on_logged(m, false);
+  if (m == log_mark::over) {
+    if (w->committed) r.payload = compose_result(*w);
+    w->result_expiry = r.expiry;
+  }
+  marks_[++last_ticket_] = {w->id, m, renewed};
+  unsent_.emplace_back(last_ticket_, store::entry{{record_type, encode(r)}, r.expiry});
+  send_unsent();
+}
+
+// In their order: where the queue is full, they wait for the next step.
+void writer::send_unsent() {
+  while (!unsent_.empty() && committer_->write(unsent_.front().first, unsent_.front().second)) unsent_.pop_front();
+}
+
+void writer::on_marked(std::uint64_t ticket, bool durable, const store::position& position) {
+  const auto at = marks_.find(ticket);
+  if (at == marks_.end()) return;
+  const marking m = at->second;
+  marks_.erase(at);
+  const auto found = open_.find(m.id);
+  if (found == open_.end()) return;
+  const auto w = found->second;
+  if (durable) w->on_disk = std::max(w->on_disk, m.what);
+  if (m.renewed) {
+    if (durable) w->renew_at = net::steady_now() + keep_ / 2;
+    return;
   }
+  if (m.what == log_mark::over) w->result_at = position;
+  w->machine.on_logged(m.what, durable);
+  advance(w);
 }
 
 void writer::take(const std::shared_ptr<write>& w, const take_step& s) {
@@ -403,63 +566,99 @@
 }
 
 void writer::finish(const std::shared_ptr<write>& w) {
-  outcome o{true, w->committed, w->id, w->committed ? compose_result(*w) : std::string(), w->expiry};
-  const auto known = outcomes_.find(w->key);
-  if (known == outcomes_.end() || known->second.of == w->id) outcomes_[w->key] = o;
+  const outcomes::key key = hash_of(w->key);
+  if (w->committed && w->on_disk == log_mark::over) {
+    outcomes_.committed(key, w->number, w->result_at, w->result_expiry);
+  } else {
+    outcomes_.undone(key, w->number);
+  }
   for (std::size_t i = 0; i < w->talks.size(); ++i)
     if (w->talks[i] != nullptr) step_ended(*w, i, false, false);
+  calls_.give_back(w->plan->participants);
+  share_changed(*w);
+  reserved_ -= w->room;
+  due_.erase({w->due, w->id});
   open_.erase(w->id);
-  const request_id id = std::exchange(w->owner, 0);
-  if (id == 0) return;
-  runs_.erase(id);
-  reactor_.wake();
-  dispatcher_.on_end(id, w->committed ? run_end::fine : run_end::never_started, o.result, net::steady_now() - w->begun);
+}
+
+void writer::schedule(write& w) {
+  due_.erase({w.due, w.id});
+  w.due = std::min({w.decide_by, w.again_at, w.renew_at});
+  due_.emplace(w.due, w.id);
+}
+
+void writer::look_at(const std::shared_ptr<write>& w, time_point steady) {
+  if (w->waits && calls_.take(w->plan->participants, true)) {
+    w->waits = false;
+    --waiting_;
+    share_changed(*w);
+    w->machine.resume(w->on_disk);
+  }
+  if (steady >= w->decide_by) {
+    w->decide_by = time_point::max();
+    w->machine.on_deadline();
+  }
+  if (steady >= w->again_at && w->waits) w->again_at = steady + config_.writes->retry;
+  // A step that hangs counts as unheard once the participant's budget has passed: it is taken again on a new connection.
+  if (steady >= w->again_at) {
+    w->again_at = steady + w->pause;
+    w->pause = std::min<duration>(w->pause * 2, config_.writes->longest_retry);
+    for (std::size_t i = 0; i < w->talks.size(); ++i) {
+      const duration budget = config_.dependencies->rules[w->plan->participants[i]].budget;
+      if (w->machine.where() == transaction::stage::preparing || w->talks[i] == nullptr || steady - w->asked[i] < budget)
+        continue;
+      w->talks[i]->close();
+      reactor_.retire(std::move(w->talks[i]));
+      w->talks[i] = nullptr;
+      step_ended(*w, i, true, false);
+      w->machine.on_step(i, w->machine.where() == transaction::stage::aborting ? step_kind::abort : step_kind::commit,
+                         step_end::unknown);
+    }
+    w->machine.again();
+  }
+  if (steady >= w->renew_at) {
+    w->renew_at = steady + config_.writes->longest_retry;  // unless it gets on disk
+    if (w->on_disk != log_mark{}) mark(w, w->on_disk, true);
+  }
+  schedule(*w);
+  advance(w);
 }
 
 time_point writer::step(time_point steady) {
+  if (!committer_) {
+    if (steady >= next_try_) take_folder_over(steady);
+    if (!committer_) return next_try_;
+  }
   std::vector<store::committer::done> done;
-  const auto c = committer_->collect(done);
-  room_ = c.room;
-  writable_ = c.writable;
+  disk_ = committer_->collect(done);
   for (const auto& d : done) {
-    const auto at = marks_.find(d.ticket);
-    if (at == marks_.end()) continue;
-    const auto [id, m] = at->second;
-    marks_.erase(at);
-    const auto w = open_.find(id);
-    if (w == open_.end()) continue;
-    const auto kept = w->second;
-    kept->machine.on_logged(m, d.ok);
-    advance(kept);
-  }
-  if (steady < next_look_) return next_look_;
-  next_look_ = steady + config_.writes->retry / 4;
-  std::vector<std::shared_ptr<write>> all;
-  for (const auto& [id, w] : open_) all.push_back(w);
-  for (const auto& w : all) {
-    if (steady >= w->decide_by) {
-      w->decide_by = time_point::max();
-      w->machine.on_deadline();
+    if (d.what == store::committer::kind::write) {
+      on_marked(d.ticket, d.ok, d.at);
+      continue;
     }
-    // A step that hangs counts as unheard: it is taken again on a new connection.
-    if (steady >= w->again_at) {
-      w->again_at = steady + w->pause;
-      w->pause = std::min<duration>(w->pause * 2, config_.writes->longest_retry);
-      for (std::size_t i = 0; i < w->talks.size(); ++i) {
-        if (w->machine.where() == transaction::stage::preparing || w->talks[i] == nullptr) continue;
-        w->talks[i]->close();
-        reactor_.retire(std::move(w->talks[i]));
-        w->talks[i] = nullptr;
-        step_ended(*w, i, true, false);
-        w->machine.on_step(i, w->machine.where() == transaction::stage::aborting ? step_kind::abort : step_kind::commit,
-                           step_end::unknown);
-      }
-      w->machine.again();
+    const auto read = reads_.find(d.ticket);
+    if (read == reads_.end()) continue;
+    const request_id id = read->second;
+    reads_.erase(read);
+    const auto m = d.ok ? decode(record_type, d.body) : std::nullopt;
+    if (!m) log("writes", "a result cannot be read: %s", d.ok ? "it is no mark" : d.body.c_str());
+    dispatcher_.on_inquired(id, m ? inquiry_end::result : inquiry_end::unknown, m ? m->payload : std::string());
+  }
+  send_unsent();
+  while (!due_.empty() && due_.begin()->first <= steady) {
+    const auto w = open_.find(due_.begin()->second);
+    if (w == open_.end()) {
+      due_.erase(due_.begin());
+    } else {
+      look_at(std::shared_ptr<write>(w->second), steady);
     }
-    advance(w);
   }
-  std::erase_if(outcomes_, [&](const auto& o) { return o.second.over && o.second.expiry <= now(); });
-  return next_look_;
+  if (steady >= next_ageing_) {
+    next_ageing_ = steady + age_every;
+    outcomes_.age(now());
+  }
+  const time_point next = outcomes_.next_ageing() != 0 ? next_ageing_ : time_point::max();
+  return due_.empty() ? next : std::min(next, due_.begin()->first);
 }
 
 }  // namespace marblewharf::dependencies
--- a/src/dependencies/writer.hpp
+++ b/src/dependencies/writer.hpp
@@ -1,19 +1,29 @@
 // Runs writes of classes with several participants: whole at all or at none, across restarts. `transaction` decides; this
 // takes its steps over uwsgi and has its marks on disk in a folder of its own. Writes have keys (src/keyed): a key's run is
 // one transaction, and after a crash its outcome is found by the key.
+//
+// Two processes never have the folder at once: one that finds it held (a replacement) turns writes away with a time to
+// return, answers no inquiry, and takes the folder over once it is let go. The reactor's thread; the disk has its own.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
+#include "dependencies/call_book.hpp"
 #include "dependencies/endpoints.hpp"
+#include "dependencies/gatherer.hpp"
+#include "dependencies/outcomes.hpp"
 #include "dependencies/transaction.hpp"
 #include "keyed/clock.hpp"
 #include "net/reactor.hpp"
@@ -24,9 +34,9 @@
 
 class writer : public backend {
  public:
-  // Reads the folder and goes on with what is open in it. `notify`: step() has something to do, from another thread.
-  // Throws store::io_error or store::damaged.
-  writer(net::reactor& r, const config& settings, dispatcher& d, backend& behind, store::file_system& fs,
+  // Reads the folder and goes on with what is open in it, unless another process holds it. `notify`: step() has something
+  // to do, from another thread. Throws store::io_error or store::damaged.
+  writer(net::reactor& r, const config& settings, dispatcher& d, gatherer& behind, store::file_system& fs,
          std::uint64_t random, std::function<void()> notify);
   ~writer() override;
 
@@ -42,26 +52,36 @@
   // The view of the fleet has changed: `routable` tells of a place (a zone or a member) whether calls may go there.
   void routes_changed(const std::function<bool(const std::string&)>& routable);
   std::size_t open() const { return open_.size(); }
+  // This node's share of calls at a dependency, and what writes and gatherings together have and want of them.
+  void set_share(std::size_t dependency, double most);
+  gatherer::calls calls_at(std::size_t dependency) const;
+  // Lines of `writes.NAME=VALUE` for show-stat.
+  std::string figures() const;
 
  private:
   using write_id = std::string;  // 32 hexadecimal digits
   struct write;
-  struct outcome {
-    bool over = false, committed = false;
-    write_id of;
-    std::string result;
-    std::int64_t expiry = 0;
-  };
 
+  void open_folder();
+  void take_folder_over(time_point now);
   std::string key_of(const request& what) const;
+  outcomes::key hash_of(const std::string& key) const;
+  const write_plan* plan_of(const request& what) const;
+  std::optional<duration> no_room(const write_plan& plan, const request& what);
+  std::uint64_t room_of(std::size_t payload) const;
+  void share_changed(const write& w);
+  void schedule(write& w);
+  void look_at(const std::shared_ptr<write>& w, time_point now);
+  void on_marked(std::uint64_t ticket, bool durable, const store::position& at);
+  void send_unsent();
   std::shared_ptr<write> make(const write_id& id, std::size_t request_class, std::string payload, std::string key);
   void choose_endpoints(write& w);
   endpoints* route_of(const write& w, std::size_t participant);
   void step_ended(const write& w, std::size_t participant, bool told, bool well);
-  void recover(std::uint32_t type, std::string_view body);
+  void recover(std::uint32_t type, std::string_view body, const store::position& at);
   void advance(const std::shared_ptr<write>& w);
   void take(const std::shared_ptr<write>& w, const take_step& s);
-  void mark(const std::shared_ptr<write>& w, log_mark m);
+  void mark(const std::shared_ptr<write>& w, log_mark m, bool renewed = false);
   void on_exchanged(const write_id& id, std::size_t participant, step_kind what, uwsgi::exchange_end how,
                     const uwsgi::response_head* head, std::string_view response);
   void finish(const std::shared_ptr<write>& w);
@@ -71,20 +91,36 @@
   net::reactor& reactor_;
   const config& config_;
   dispatcher& dispatcher_;
-  backend& behind_;
+  gatherer& behind_;
+  store::file_system& fs_;
+  const std::function<void()> notify_;
+  const duration keep_;  // marks on disk, and outcomes: the longest window of any class
   keyed::ageing_clock clock_;
   std::uint64_t random_;
   std::mt19937_64 draws_;
   std::vector<endpoints> routes_;  // by dependency: which endpoint a new write takes, where places are known
+  call_book calls_;
   std::uint64_t last_number_ = 0;
   std::unordered_map<write_id, std::shared_ptr<write>> open_;
   std::unordered_map<request_id, write_id> runs_;
-  std::unordered_map<std::string, outcome> outcomes_;  // by key
-  std::map<std::uint64_t, std::pair<write_id, log_mark>> marks_;  // on their way to disk, by ticket
+  std::set<std::pair<time_point, write_id>> due_;  // when each of open_ is looked at next
+  outcomes outcomes_;
+  struct marking {
+    write_id id;
+    log_mark what{};
+    bool renewed = false;  // says again what is on disk already
+  };
+  std::map<std::uint64_t, marking> marks_;                     // on their way to disk, by ticket
+  std::deque<std::pair<std::uint64_t, store::entry>> unsent_;  // that the committer's queue had no room for
+  std::unordered_map<std::uint64_t, request_id> reads_;        // of results, by ticket
   std::uint64_t last_ticket_ = 0;
-  std::uint64_t room_ = 0;
-  bool writable_ = false;
-  time_point next_look_{};
+  store::committer::condition disk_;
+  std::uint64_t reserved_ = 0;  // bytes that open writes may still need
+  std::int64_t latest_expiry_ = 0;  // of all marks
+  std::size_t waiting_ = 0;         // writes found on disk that wait for room to go on
+  std::uint64_t turned_away_ = 0;
+  time_point next_try_ = time_point::max();  // to take the folder over
+  time_point next_ageing_{};
   std::unique_ptr<store::committer> committer_;  // last: its thread goes first
 };
 
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -151,9 +151,10 @@
   operators_desk(const config& settings, const dispatcher& table, const telemetry::counters& counters,
                  const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain,
                  const fleet::link* in_fleet, const std::optional<dependencies::gatherer>& gathers,
-                 const std::optional<fleet::shares>& shared)
+                 const std::optional<dependencies::writer>& writes, const std::optional<fleet::shares>& shared)
       : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain), fleet_(in_fleet),
         gathers_(gathers),
+        writes_(writes),
         shared_(shared) {
     for (const auto& c : settings.settings.classes) classes_.push_back(c.name);
   }
@@ -161,7 +162,7 @@
   bool ready() override { return runtime_.up() && !front_.leaving(); }
   std::string figures() override {
     return ops::render_figures(counters_, classes_, desk_.unanswered()) + (fleet_ ? fleet_->show_figures() : "") +
-           (gathers_ ? gathers_->figures() : "") + (shared_ ? shared_->show_figures() : "");
+           (gathers_ ? gathers_->figures() : "") + (writes_ ? writes_->figures() : "") + (shared_ ? shared_->show_figures() : "");
   }
   std::optional<std::string> members() override {
     return fleet_ ? std::optional<std::string>(fleet_->show_members()) : std::nullopt;
@@ -189,6 +190,7 @@
   ops::drain_state& drain_;
   const fleet::link* fleet_;  // none: in no fleet
   const std::optional<dependencies::gatherer>& gathers_;
+  const std::optional<dependencies::writer>& writes_;
   const std::optional<fleet::shares>& shared_;
   std::vector<std::string> classes_;
 };
@@ -241,7 +243,8 @@
   std::optional<dependencies::writer> writer;
   // Budgets of the fleet: only where the operator's file names one.
   std::optional<fleet::shares> shared;
-  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr, gatherer, shared);
+  operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr, gatherer, writer,
+                            shared);
   std::optional<console::server> console;
   if (settings.console) {
     console.emplace(reactor, bounds, *settings.console, operators, counters);
@@ -254,17 +257,17 @@
     backend* behind = &*servers;
     if (settings.dependencies) behind = &gatherer.emplace(reactor, settings, desk, *servers);
     if (settings.writes)
-      behind = &writer.emplace(reactor, settings, desk, *behind, disk, random_number(), [&] { waker->wake(); });
+      behind = &writer.emplace(reactor, settings, desk, *gatherer, disk, random_number(), [&] { waker->wake(); });
     second_front.emplace(reactor, settings, desk, *behind, counters);
     telemetry::log("start", "uwsgi on %s:%u", settings.uwsgi->listen.host.c_str(),
                    static_cast<unsigned>(settings.uwsgi->listen.port));
   }
   if (settings.budgets) {
     fleet::calls_user calls;
-    calls.limit = [&gatherer](std::size_t d, double n) { gatherer->set_share(d, n); };
-    calls.use = [&gatherer](std::size_t d) {
-      const auto now = gatherer->calls_at(d);
-      return fleet::calls_user::calls{now.in_flight, now.waiting, 0};
+    calls.limit = [&](std::size_t d, double n) { writer ? writer->set_share(d, n) : gatherer->set_share(d, n); };
+    calls.use = [&](std::size_t d) {
+      const dependencies::gatherer::calls now = writer ? writer->calls_at(d) : gatherer->calls_at(d);
+      return fleet::calls_user::calls{now.in_flight, now.waiting, now.turned_away};
     };
     shared.emplace(*fleet, settings, desk, counters, std::move(calls));
   }
--- /dev/null
+++ b/tests/dependencies/outcomes_test.cpp
@@ -0,0 +1,134 @@
+// What is known of writes by their keys, and the room that they take at their participants (ctest -L dependencies).
+#include "dependencies/outcomes.hpp"
+
+#include <rapidcheck.h>
+
+#include <cstdio>
+#include <map>
+#include <vector>
+
+#include "../check.hpp"
+#include "dependencies/call_book.hpp"
+
+using namespace marblewharf::dependencies;
+
+namespace {
+
+using standing = outcomes::standing;
+
+// Against a plain map that forgets nothing but what has aged.
+void against_a_map() {
+  CHECK(rc::check("a committed outcome is told until it ages, and no other is", [] {
+    struct written {
+      std::uint64_t which = 0;
+      standing how = standing::under_way;
+      std::uint32_t offset = 0;
+      std::int64_t expiry = 0;
+    };
+    outcomes o(1'000'000);
+    std::map<std::uint64_t, written> model;  // by key: the latest write
+    std::uint64_t last = 0;
+    std::int64_t now = 1;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      const std::uint64_t k = static_cast<std::uint64_t>(*rc::gen::inRange(0, 8));
+      const outcomes::key key{k, k * 7};
+      auto& m = model[k];
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          m = {++last, standing::under_way, 0, 0};
+          o.begin(key, last);
+          break;
+        case 1:
+          o.undone(key, m.which);
+          if (m.which != 0 && m.how == standing::under_way) m = {};
+          break;
+        case 2:
+          if (m.how != standing::under_way || m.which == 0) break;
+          m.how = standing::committed;
+          m.offset = static_cast<std::uint32_t>(i);
+          m.expiry = now + 100;
+          o.committed(key, m.which, {1, m.offset, 8}, m.expiry);
+          break;
+        case 3: o.committed(key, m.which + 1000, {1, 1, 8}, now + 100); break;  // of another write: it tells nothing
+        default:
+          now += *rc::gen::inRange(1, 60);
+          o.age(now);
+          for (auto& [mk, w] : model)
+            if (w.how == standing::committed && w.expiry <= now) w = {};
+      }
+      for (const auto& [mk, w] : model) {
+        const outcomes::known is = o.of({mk, mk * 7});
+        RC_ASSERT(is.how == (w.which == 0 ? standing::unknown : w.how));
+        if (w.how == standing::committed) RC_ASSERT(is.at.offset == w.offset);
+      }
+    }
+  }));
+}
+
+void bounded() {
+  outcomes o(2);
+  o.begin({1, 1}, 1);
+  CHECK(o.room());
+  o.begin({2, 2}, 2);
+  CHECK(!o.room() && o.next_ageing() == 0);
+  o.committed({1, 1}, 1, {1, 64, 8}, 500);
+  CHECK(!o.room() && o.next_ageing() == 500);
+  o.age(499);
+  CHECK(!o.room());
+  o.age(500);
+  CHECK(o.room() && o.of({1, 1}).how == standing::unknown && o.of({2, 2}).how == standing::under_way);
+}
+
+// Writes and gatherings together never have more than the share, writes alone never more than the participant takes, a
+// write has all of its calls or none, and whatever is given back can be taken again.
+void calls() {
+  CHECK(rc::check("room at participants", [] {
+    const std::size_t n = 3;
+    std::vector<std::size_t> gathering(n);
+    const std::vector<double> most = {4, 2, 3};
+    call_book book(most, [&](std::size_t d) { return gathering[d]; });
+    std::vector<double> share(n, 100);
+    for (std::size_t d = 0; d < n; ++d) book.set_share(d, share[d]);
+    std::vector<std::vector<std::size_t>> open;
+    for (int i = *rc::gen::inRange(1, 120); i > 0; --i) {
+      const auto d = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0: book.set_share(d, share[d] = *rc::gen::inRange(0, 8)); break;
+        case 1: gathering[d] = static_cast<std::size_t>(*rc::gen::inRange(0, 4)); break;
+        case 2:
+          if (open.empty()) break;
+          book.give_back(open.back());
+          open.pop_back();
+          break;
+        default: {
+          const std::vector<std::size_t> wants = d == 2 ? std::vector<std::size_t>{0, 1, 2} : std::vector<std::size_t>{d};
+          std::vector<std::size_t> before;
+          bool fits = true;
+          for (std::size_t p = 0; p < n; ++p) before.push_back(book.writes(p));
+          for (const std::size_t p : wants)
+            fits = fits && static_cast<double>(before[p]) + 1 <= most[p] &&
+                   static_cast<double>(before[p] + gathering[p]) + 1 <= share[p];
+          RC_ASSERT(book.take(wants) == fits);
+          for (const std::size_t p : wants) RC_ASSERT(book.writes(p) == before[p] + (fits ? 1 : 0));
+          if (fits) open.push_back(wants);
+        }
+      }
+      for (std::size_t p = 0; p < n; ++p)
+        RC_ASSERT(book.left(p) == std::max(0.0, share[p] - static_cast<double>(book.writes(p))));
+    }
+    const auto turned_away = book.turned_away(0);
+    book.set_share(0, 0);
+    RC_ASSERT(!book.take({0}, true) && book.turned_away(0) == turned_away);
+    RC_ASSERT(!book.take({0}) && book.turned_away(0) == turned_away + 1);
+  }));
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  const std::map<std::string, void (*)()> tests = {{"against_a_map", against_a_map}, {"bounded", bounded}, {"calls", calls}};
+  tests.at(argv[1])();
+  std::printf("%s passed\n", argv[1]);
+  return 0;
+}
--- a/tests/dependencies/writes_test.cpp
+++ b/tests/dependencies/writes_test.cpp
@@ -1,16 +1,18 @@
 // Writes over three participants while steps are lost, cut and repeated and the node is killed: once all is quiet each is
 // whole at all of them or at none, and no answer was otherwise.
 //
-//   marblewharf_writes_test [KILLS [SEED [near]]]
+//   marblewharf_writes_test [KILLS [SEED [near|beside]]]
 //
 // `near`: one participant has two endpoints with places, far and near; all steps of a write go to the one it began at.
+// `beside`: instead of a kill and a start, a second process of the node is started beside the first, which then is killed
+// or told to leave.
 #include <array>
 #include <filesystem>
 #include <random>
 #include <set>
 
 #include "../net/uwsgi_peer.hpp"
-#include "../peers/frail.hpp"
+#include "../peers/idle_runtime.hpp"
 #include "../peers/uwsgi_server.hpp"
 
 using namespace harness;
@@ -106,7 +108,8 @@
   uwsgi_server buch([&](const uwsgi_request& q) { return b.step(1, false, q); });
   uwsgi_server melde([&](const uwsgi_request& q) { return b.step(2, true, q); });
   const int port = free_port();
-  const bool near = argc > 3 && std::string(argv[3]) == "near";
+  const std::string mode = argc > 3 ? argv[3] : "";
+  const bool near = mode == "near", beside = mode == "beside";
   const std::string fleet_at = own_host() + ":" + std::to_string(free_port());
   const std::string konto_section =
       "dependency konto {\n endpoints = {\"" + konto.address() + "\", \"" + konto_near.address() +
@@ -127,29 +130,9 @@
                 " participants = {konto, buch, melde}\n}\n"
                 "keyed {\n folder = \"" + folder + "/results\"\n uwsgi_var = KEY\n inquiry_tries = 2\n inquiry_pause = 20ms\n}\n"
                 "writes {\n folder = \"" + folder + "/writes\"\n step_var = STEP\n id_var = WRITE_ID\n retry = 60ms\n}\n";
-  runtime r;
-  std::atomic<bool> over = false, runtime_over = false;
-  // Nothing runs on it: it only has to be there.
-  std::thread stub([&] {
-    while (!runtime_over) {
-      if (!r.door.waiting(20)) continue;
-      peers::frail link = peers::frail::accepted(r.door.fd());
-      std::string in;
-      while (!runtime_over && link.good()) {
-        pollfd p{link.fd(), POLLIN, 0};
-        if (::poll(&p, 1, 20) <= 0) continue;
-        if (!link.more(in, 0)) break;
-        for (std::size_t end; (end = in.find('\n')) != std::string::npos; in.erase(0, end + 1)) {
-          const std::string line = in.substr(0, end);
-          const std::string msg = member(line, "msg");
-          if (msg == "sync") link.send("{\"msg\":\"ready\",\"how\":\"running\",\"duration\":60000}\n");
-          if (msg == "gauges")
-            link.send("{\"msg\":\"load\",\"cookie\":\"" + member(line, "cookie") + "\",\"stats\":[0.2,1,0.1,3]}\n");
-        }
-      }
-    }
-  });
-  auto n = std::make_unique<node>(r, o);
+  peers::idle_runtime runtime;
+  std::atomic<bool> over = false;
+  auto n = std::make_unique<node>(runtime.at, o);
   n->logged(" start: n0");
   std::vector<std::thread> callers;
   for (int c = 0; c < 6; ++c) {
@@ -168,8 +151,21 @@
   }
   for (int i = 0; i < kills; ++i) {
     std::this_thread::sleep_for(std::chrono::milliseconds(100 + random() % 400));
+    if (beside) {
+      o.listen_port = n->port;
+      auto next = std::make_unique<node>(runtime.at, o);
+      next->logged(" start: n0");
+      next->logged("writes are turned away until it lets go");
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % 300));
+      if (random() % 2 == 0) n->signal(SIGKILL);
+      else n->signal(SIGTERM);
+      n->wait();
+      n = std::move(next);
+      n->logged("/writes taken over");
+      continue;
+    }
     n.reset();
-    n = std::make_unique<node>(r, o);
+    n = std::make_unique<node>(runtime.at, o);
     n->logged(" start: n0");
   }
   std::this_thread::sleep_for(500ms);
@@ -237,8 +233,6 @@
     CHECK(b.steps_at[1] > 2 * b.steps_at[0]);
   }
   n.reset();
-  runtime_over = true;
-  stub.join();
   std::filesystem::remove_all(folder);
   return 0;
 }
--- a/tests/net/budgets_test.cpp
+++ b/tests/net/budgets_test.cpp
@@ -1,5 +1,6 @@
 // Wholes divided among nine price nodes on loopback, with faults between the processes; an auditor sums what
 // their logs say was in force at every instant (ctest -L budgets).
+#include <filesystem>
 #include <map>
 
 #include "../fleet/audit.hpp"
@@ -181,14 +182,27 @@
   s.audit();
 }
 
+// Of an operator's file: kurs-meldung is a write over the dependency kurse and another participant.
+std::string written(const std::string& folder, const std::string& other) {
+  return "dependency buch {\n endpoints = {\"" + other +
+         "\"}\n}\nclass kurs-meldung {\n uwsgi_values = {\"/kurs/liste\"}\n keyed = yes\n window = 10m\n"
+         " participants = {kurse, buch}\n}\nkeyed {\n folder = \"" +
+         folder + "-results\"\n uwsgi_var = KEY\n}\nwrites {\n folder = \"" + folder +
+         "-writes\"\n step_var = STEP\n id_var = WRITE_ID\n retry = 60ms\n longest_retry = 200ms\n}\n";
+}
+
 // The whole is of calls in flight at a dependency that all nine nodes gather from: the stand-in counts what
 // is open at one instant, while the allocator is killed and started anew and a node is paused; far more is
 // wanted all the time.
-void calls_in_flight() {
+// `writes`: the dependency is a participant of writes, whose steps count as much.
+void calls_in_flight(bool writes) {
   constexpr int most = 45, each = 15;
   peers::uwsgi_server source([](const peers::uwsgi_request&) {
     return peers::reaction{80ms, peers::manner::whole, "101.42"};
   });
+  peers::uwsgi_server other([](const peers::uwsgi_request&) { return peers::reaction{}; });
+  char folders[] = "/tmp/marblewharf-shared-XXXXXX";
+  CHECK(::mkdtemp(folders) != nullptr);
   std::vector<int> ports;
   for (int i = 0; i < 9; ++i) ports.push_back(free_port());
   fleet_options o;
@@ -199,8 +213,9 @@
       << "\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\n"
       << "dependency kurse {\n endpoints = {\"" << source.address()
       << "\"}\n budget = 2s\n hedge_quantile = 0\n}\n"
-      << "class kurs-abfrage {\n uwsgi_values = {\"/kurs/liste\"}\n}\n"
-      << "part kurse {\n class = kurs-abfrage\n from = kurse\n}\n"
+      << (writes ? written(folders + ("/" + std::to_string(i)), other.address())
+                 : "class kurs-abfrage {\n uwsgi_values = {\"/kurs/liste\"}\n}\n"
+                   "part kurse {\n class = kurs-abfrage\n from = kurse\n}\n")
       << "budgets {\n lease = 1s\n renew = 200ms\n settle = 300ms\n}\n"
       << "budget kurse {\n unit = calls\n dependency = kurse\n whole = " << most << "\n}\n";
     return t.str();
@@ -211,14 +226,15 @@
   std::vector<std::thread> callers;
   for (int i = 0; i < 9 * each; ++i) {
     callers.emplace_back([&, i] {
-      const std::string ask = uwsgi_peer::packet({{"PATH_INFO", "/kurs/liste"},
-                                                  {"REMOTE_USER", "isar-invest"},
-                                                  {"QUERY_STRING", std::to_string(i)},
-                                                  {"CONTENT_LENGTH", "2"}},
-                                                 "in");
-      while (!over) {
+      for (int number = 0; !over; ++number) {
         std::this_thread::sleep_for(5ms);
         if (!f.running(i % 9)) continue;
+        const std::string ask = uwsgi_peer::packet({{"PATH_INFO", "/kurs/liste"},
+                                                    {"REMOTE_USER", "isar-invest"},
+                                                    {"QUERY_STRING", std::to_string(i)},
+                                                    {"KEY", std::to_string(i) + "-" + std::to_string(number)},
+                                                    {"CONTENT_LENGTH", "2"}},
+                                                   "in");
         peers::frail c(ports[static_cast<std::size_t>(i % 9)]);
         c.send(ask);
         std::string in;
@@ -234,6 +250,7 @@
     return -1;
   };
   f.wait([&] { return source.most_open > 0.7 * most; }, 0);
+  f.wait([&] { return leader() >= 0; }, 0);
   const int first = leader();
   CHECK(first >= 0);
   f.kill(first);
@@ -250,7 +267,10 @@
   std::printf("most calls open at one instant: %d of %d, %d in all\n", source.most_open.load(), most,
               source.requests.load());
   CHECK(source.most_open <= most);
+  std::filesystem::remove_all(folders);
 }
+void gathered_calls_in_flight() { calls_in_flight(false); }
+void written_calls_in_flight() { calls_in_flight(true); }
 
 void faults_name_file_line_and_key() {
   const auto status = [](const std::string& text) {
@@ -291,7 +311,8 @@
                                                    {"runs_in_flight", runs_in_flight},
                                                    {"replaced", replaced},
                                                    {"restarted_at_once", restarted_at_once},
-                                                   {"calls_in_flight", calls_in_flight},
+                                                   {"calls_in_flight", gathered_calls_in_flight},
+                                                   {"writes_in_flight", written_calls_in_flight},
                                                    {"faults", faults_name_file_line_and_key}};
   tests.at(argv[1])();
   std::printf("%s passed\n", argv[1]);
