Schedule background work under budgets and load; scrub closed segments as its first job

The change: src/scheduler decides (pure: priorities with ageing, deadlines, an order whose urgent waiters pull along what they wait for, budgets that slices may overdraw once, pauses after failures, room from the module's held requests and busy cores), a pool of lowest-priority threads runs the slices, store/scrub reads closed segments and checks their sums, node/background joins them.

--- /dev/null
+++ b/bench/background_bench.cpp
@@ -0,0 +1,137 @@
+// Measures what background work costs requests: the node under a steady load of reads while the folder of its keyed results
+// is scrubbed again and again, with the budgets as wide as they go, with the usual ones, and not at all. The node and its
+// workers share one core, the callers have the others. One table, one run; figures are ratios within it.
+#include <sched.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <thread>
+
+#include "../tests/peers/quick_runtime.hpp"
+#include "keyed/records.hpp"
+#include "store/log.hpp"
+
+using namespace harness;
+
+namespace {
+
+constexpr int rounds = 3, clients = 8, results = 60'000;
+constexpr auto each = std::chrono::seconds(4);
+
+// Results of an hour's window, in segments of 8 MiB.
+void fill(const std::string& folder) {
+  using namespace marblewharf;
+  store::posix_file_system disk;
+  store::log l(disk, {folder, std::uint64_t{8} << 20, std::uint64_t{1} << 30, 7},
+               [](std::uint32_t, std::string_view) { return std::int64_t{0}; },
+               [](std::uint32_t, std::string_view, const store::position&) {});
+  const std::int64_t now = std::chrono::system_clock::now().time_since_epoch() / std::chrono::nanoseconds(1);
+  const std::int64_t hour = std::chrono::nanoseconds(std::chrono::hours(1)).count();
+  l.open(now);
+  const std::string bytes(1000, 'x');
+  std::vector<store::entry> batch;
+  for (std::uint64_t i = 1; i <= results; ++i) {
+    keyed::kept k;
+    k.what = keyed::record_type::result;
+    k.key = {i * 0x9e3779b97f4a7c15ull, i};
+    k.content = i;
+    k.expiry = now + hour;
+    k.at = now;
+    k.served = true;
+    k.bytes = bytes;
+    batch.push_back({keyed::encode(k), k.expiry});
+    if (batch.size() == 500) {
+      l.append(batch, now);
+      batch.clear();
+    }
+  }
+}
+
+struct mode {
+  const char* name;
+  std::string keyed, background;
+  std::vector<double> ms;
+  double read = 0, seconds = 0;
+};
+
+double at(std::vector<double>& v, double quantile) {
+  std::sort(v.begin(), v.end());
+  return v.empty() ? 0 : v[std::min(v.size() - 1, static_cast<std::size_t>(quantile * static_cast<double>(v.size())))];
+}
+
+// This thread, and what it starts from now on, on the cores from `first` to before `last`.
+void run_on(int first, int last) {
+  cpu_set_t cores;
+  CPU_ZERO(&cores);
+  for (int i = first; i < last; ++i) CPU_SET(static_cast<std::size_t>(i), &cores);
+  CHECK(::sched_setaffinity(0, sizeof cores, &cores) == 0);
+}
+
+void play(mode& m, const std::string& folder) {
+  const int console = free_port();
+  node_options o;
+  o.quota = o.other_quota = 100000;
+  o.cores = 64;
+  o.edit_from = "\"seed\"";
+  o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(console) + "\",\"seed\"";
+  o.operators = "class kurs-meldung {\n keyed = yes\n window = 1h\n}\nkeyed {\n folder = \"" + folder +
+                "\"\n thrift_field = key\n" + m.keyed + "}\n" + m.background;
+  peers::quick_runtime runtime;
+  run_on(0, 1);
+  node n(runtime.r, o);
+  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
+  runtime.start();
+  n.logged(" start: n0");
+  std::this_thread::sleep_for(300ms);
+  std::vector<std::vector<double>> took(clients);
+  std::vector<std::thread> all;
+  const auto until = harness::clock::now() + each;
+  for (int c = 0; c < clients; ++c)
+    all.emplace_back([&, c] {
+      connection to = connection::to(n.port);
+      for (int i = 1; harness::clock::now() < until; ++i) {
+        const auto begun = harness::clock::now();
+        to.send(execute(i, usual(c * 1'000'000 + i), "kurs"));
+        read_reply(to);
+        took[static_cast<std::size_t>(c)].push_back(
+            std::chrono::duration<double, std::milli>(harness::clock::now() - begun).count());
+        std::this_thread::sleep_for(1ms);
+      }
+    });
+  for (std::thread& t : all) t.join();
+  for (const auto& t : took) m.ms.insert(m.ms.end(), t.begin(), t.end());
+  connection c = connection::to(console);
+  c.send("show-stat\n");
+  const std::string text = c.rest();
+  const std::string name = "background.scrub-results.read=";
+  if (const std::size_t found = text.find(name); found != std::string::npos)
+    m.read += std::stod(text.substr(found + name.size()));
+  m.seconds += std::chrono::duration<double>(each).count();
+}
+
+}  // namespace
+
+int main() {
+  char name[] = "/tmp/marblewharf-background-XXXXXX";
+  CHECK(::mkdtemp(name) != nullptr);
+  const std::string folder = std::string(name) + "/results";
+  fill(folder);
+  const std::string wide = "background {\n cpu = 16\n read = \"1024GiB\"\n quiet = 1\n busy = 1\n calm = 0s\n}\n";
+  std::vector<mode> modes = {{"off", "", "", {}, 0, 0},
+                             {"scrubbing without a pause, budgets as wide as they go", " scrub = 1ms\n", wide, {}, 0, 0},
+                             {"scrubbing without a pause, usual budgets", " scrub = 1ms\n", "", {}, 0, 0}};
+  for (int r = 0; r < rounds; ++r)
+    for (mode& m : modes) play(m, folder);
+  std::printf("%d results, %d rounds of %lld s each in turn, %d clients\n", results, rounds,
+              static_cast<long long>(each.count()), clients);
+  std::printf("| background work | requests | p50 over off | p99 over off | MiB read a second |\n| --- | --- | --- | --- | --- |\n");
+  const double p50 = at(modes[0].ms, 0.5), p99 = at(modes[0].ms, 0.99);
+  for (mode& m : modes)
+    std::printf("| %s | %zu | %.2f | %.2f | %.1f |\n", m.name, m.ms.size(), at(m.ms, 0.5) / p50, at(m.ms, 0.99) / p99,
+                m.read / m.seconds / (1 << 20));
+  std::printf("off: p50 %.3f ms, p99 %.3f ms\n", p50, p99);
+  std::filesystem::remove_all(name);
+  return 0;
+}
--- a/bench/ops_bench.cpp
+++ b/bench/ops_bench.cpp
@@ -8,7 +8,7 @@
 #include <random>
 #include <thread>
 
-#include "../tests/net/harness.hpp"
+#include "../tests/peers/quick_runtime.hpp"
 
 using namespace harness;
 
@@ -21,34 +21,6 @@
   return std::chrono::duration<double, std::milli>(d).count();
 }
 
-// A runtime that ends each run at once with its body, on a thread of its own, until it is told to stop.
-class quick_runtime {
- public:
-  void start() {
-    r.up();
-    thread_ = std::thread([this] {
-      std::string line;
-      while (!stopping_) {
-        if (!r.link.readable(50)) continue;
-        if (!r.link.next(line)) return;
-        if (r.answer_gauges(line)) continue;
-        if (member(line, "msg") != "start") continue;
-        r.send("{\"msg\":\"end\",\"serial\":" + std::to_string(++r.serial) + ",\"call\":\"" + member(line, "call") +
-               "\",\"how\":\"fine\",\"duration\":1.0,\"blob\":\"" + member(line, "blob") + "\"}");
-      }
-    });
-  }
-  ~quick_runtime() {
-    stopping_ = true;
-    if (thread_.joinable()) thread_.join();
-  }
-  runtime r;
-
- private:
-  std::atomic<bool> stopping_ = false;
-  std::thread thread_;
-};
-
 // A node with a console of its own; `listen` beside another node, `tmpdir` shared with it.
 struct with_console {
   with_console(const runtime& r, int listen, const std::string& tmpdir)
@@ -163,7 +135,7 @@
   std::printf("seed %u, %d clients, each request on a new connection\n", seed, clients);
   char folder[] = "/tmp/marblewharf-ops-bench-XXXXXX";
   CHECK(::mkdtemp(folder) != nullptr);
-  quick_runtime first_runtime, second_runtime;
+  peers::quick_runtime first_runtime, second_runtime;
   auto first = std::make_unique<with_console>(first_runtime.r, 0, folder);
   first_runtime.start();
   wait_ready(first->console_port);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -59,6 +59,17 @@
   std::string inquiry_var, inquiry_value;  // what asks a server for the outcome of a write; empty: none does
   unsigned inquiry_tries = 3;
   std::chrono::nanoseconds inquiry_pause = std::chrono::milliseconds(200);  // before the second; then doubled
+  std::chrono::nanoseconds scrub{};  // closed segments are read again that often; 0: never
+};
+
+// Budgets and room of background work (docs/scheduler.md), from the operator's file.
+struct background_config {
+  unsigned workers = 1;
+  double cpu = 0.1;                                    // of one core, all jobs together
+  std::uint64_t read = std::uint64_t{16} << 20;        // bytes a second, all jobs together
+  double quiet = 0.5, busy = 0.85;                     // busy cores with all room, and with none
+  std::chrono::nanoseconds calm = std::chrono::seconds(1);      // none so long after a request had to wait
+  std::chrono::nanoseconds deadline = std::chrono::hours(24);   // a job due for so long runs also without room
 };
 
 // Sources that answers of planned classes are gathered from, from the operator's file.
@@ -93,6 +104,7 @@
   std::chrono::nanoseconds retry = std::chrono::milliseconds(200);  // of a step that nobody answered; then doubled
   std::chrono::nanoseconds longest_retry = std::chrono::seconds(5);
   std::size_t outcomes = 1'000'000;  // known at once, by key: about 100 bytes each
+  std::chrono::nanoseconds scrub{};  // as of keyed results
 };
 
 // A fleet of price nodes that learn each other and decide zones out in common (docs/failover.md), from the
@@ -170,6 +182,7 @@
   std::optional<writes_config> writes;  // none: no write has several participants
   std::optional<fleet_config> fleet;    // none: membership and failover are off
   std::optional<budgets_config> budgets;  // none: no whole is divided
+  background_config background;           // of use where something asks for background work
 };
 
 // Reads the text of a configuration file.
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -146,6 +146,7 @@
                                         CFG_STR_LIST("participants", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t tenant[] = {CFG_STR_LIST("uwsgi_values", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t keyed[] = {CFG_STR("folder", nullptr, CFGF_NONE),
+                                CFG_STR("scrub", "0s", CFGF_NONE),
                                 CFG_STR("uwsgi_var", nullptr, CFGF_NONE),
                                 CFG_STR("thrift_field", nullptr, CFGF_NONE),
                                 CFG_STR("longest_key", "255", CFGF_NONE),
@@ -184,7 +185,12 @@
                                  CFG_STR("space", "256MiB", CFGF_NONE),     CFG_STR("step_var", nullptr, CFGF_NONE),
                                  CFG_STR("id_var", nullptr, CFGF_NONE),     CFG_STR("retry", "200ms", CFGF_NONE),
                                  CFG_STR("longest_retry", "5s", CFGF_NONE),
-                                 CFG_STR("outcomes", "1000000", CFGF_NONE), CFG_END()};
+                                 CFG_STR("outcomes", "1000000", CFGF_NONE), CFG_STR("scrub", "0s", CFGF_NONE),
+                                 CFG_END()};
+    static cfg_opt_t background[] = {CFG_STR("workers", "1", CFGF_NONE),  CFG_STR("cpu", "0.1", CFGF_NONE),
+                                     CFG_STR("read", "16MiB", CFGF_NONE), CFG_STR("quiet", "0.5", CFGF_NONE),
+                                     CFG_STR("busy", "0.85", CFGF_NONE),  CFG_STR("calm", "1s", CFGF_NONE),
+                                     CFG_STR("deadline", "24h", CFGF_NONE), CFG_END()};
     static cfg_opt_t part[] = {CFG_STR("class", nullptr, CFGF_NONE), CFG_STR("from", nullptr, CFGF_NONE),
                                CFG_STR("required", "no", CFGF_NONE), CFG_STR_LIST("fallback", nullptr, CFGF_NONE),
                                CFG_END()};
@@ -213,6 +219,7 @@
                                  CFG_STR("dependency", nullptr, CFGF_NONE),
                                  CFG_STR("settle", nullptr, CFGF_NONE), CFG_END()};
     static cfg_opt_t all[] = {CFG_SEC("uwsgi", uwsgi, CFGF_NODEFAULT), CFG_SEC("keyed", keyed, CFGF_NODEFAULT),
+                              CFG_SEC("background", background, CFGF_NODEFAULT),
                               CFG_SEC("fleet", fleet, CFGF_NODEFAULT),
                               CFG_SEC("budgets", budget_rules, CFGF_NODEFAULT),
                               CFG_SEC("budget", budget, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
@@ -228,7 +235,7 @@
     for (const auto& [name, options] :
          {std::pair{"uwsgi", uwsgi}, {"keyed", keyed}, {"class", request_class}, {"tenant", tenant},
           {"dependencies", common}, {"writes", writes}, {"dependency", dependency}, {"part", part},
-          {"fleet", fleet}, {"zone", zone}, {"budgets", budget_rules}, {"budget", budget}}) {
+          {"background", background}, {"fleet", fleet}, {"zone", zone}, {"budgets", budget_rules}, {"budget", budget}}) {
       for (const cfg_opt_t* o = options; o->name != nullptr; ++o)
         cfg_set_validate_func(cfg_.get(), (std::string(name) + "|" + o->name).c_str(), note_line);
     }
@@ -259,6 +266,7 @@
     }
     read_writes(c);
     read_budgets(c);
+    read_background(c);
   }
 
  private:
@@ -334,6 +342,7 @@
     if (!k.inquiry_var.empty() && !c.uwsgi) s.fail("inquiry_var", "is set, and uwsgi is off");
     k.inquiry_tries = static_cast<unsigned>(s.count("inquiry_tries", 1, 100));
     k.inquiry_pause = s.time("inquiry_pause", 1ms, 60s);
+    k.scrub = s.time("scrub", 0s, longest_scrub);
     if (std::none_of(k.windows.begin(), k.windows.end(), [](auto w) { return w.count() > 0; }))
       s.fail(nullptr, "is on, and no class has keyed = yes");
     return k;
@@ -481,6 +490,23 @@
     c.fleet = std::move(f);
   }
 
+  static constexpr std::chrono::nanoseconds longest_scrub = std::chrono::hours(24 * 366);
+
+  void read_background(config& c) const {
+    using namespace std::chrono_literals;
+    if (cfg_size(cfg_.get(), "background") == 0) return;
+    const section s = only("background");
+    background_config& b = c.background;
+    b.workers = static_cast<unsigned>(s.count("workers", 1, 16));
+    b.cpu = s.number("cpu", 0.001, 16);
+    b.read = s.bytes("read", 1 << 10, std::uint64_t{1} << 40);
+    b.quiet = s.number("quiet", 0, 1);
+    b.busy = s.number("busy", 0, 1);
+    if (b.busy < b.quiet) s.fail("busy", "is under quiet", s.text("busy"));
+    b.calm = s.time("calm", 0s, 60s);
+    b.deadline = s.time("deadline", 0s, longest_scrub);
+  }
+
   void read_budgets(config& c) const {
     using namespace std::chrono_literals;
     if (cfg_size(cfg_.get(), "budget") == 0) {
@@ -590,6 +616,7 @@
     w.retry = s.time("retry", 10ms, 60s);
     w.longest_retry = s.time("longest_retry", w.retry, 3600s);
     w.outcomes = s.count("outcomes", 1, 100'000'000);
+    w.scrub = s.time("scrub", 0s, longest_scrub);
     c.writes = std::move(w);
   }
 
--- /dev/null
+++ b/src/node/background.cpp
@@ -0,0 +1,89 @@
+#include "node/background.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <sstream>
+
+#include "store/scrub.hpp"
+
+namespace marblewharf::node {
+
+namespace {
+
+// While work is due the load is looked at this often; a slice's end wakes us besides.
+constexpr duration look_every = std::chrono::milliseconds(50);
+
+scheduler::options options_of(const background_config& c) {
+  scheduler::options o;
+  o.workers = c.workers;
+  o.budget = {c.cpu, static_cast<double>(c.read), 0};
+  return o;
+}
+
+}  // namespace
+
+bool background::wanted(const config& settings) {
+  return (settings.keyed && settings.keyed->scrub.count() > 0) || (settings.writes && settings.writes->scrub.count() > 0);
+}
+
+background::background(const config& settings, telemetry::counters& counters, std::function<void()> notify,
+                       time_point now)
+    : counters_(counters),
+      room_({settings.background.quiet, settings.background.busy, settings.background.calm}),
+      pool_(options_of(settings.background),
+            [this, notify = std::move(notify)] {
+              ended_ = true;
+              notify();
+            },
+            [this](const std::string& job, const std::string& note) {
+              ++counters_.background_faults;
+              telemetry::log("background", "%s: %s", job.c_str(), note.c_str());
+            },
+            now) {
+  const auto each = [&](const std::string& what, const std::string& folder, duration every) {
+    if (every.count() > 0) scrub(what, folder, every, settings.background.deadline, now);
+  };
+  if (settings.keyed) each("scrub-results", settings.keyed->folder, settings.keyed->scrub);
+  if (settings.writes) each("scrub-writes", settings.writes->folder, settings.writes->scrub);
+}
+
+// One segment a slice. Also of a folder that another process still has: nothing is written.
+void background::scrub(const std::string& what, const std::string& folder, duration every, duration deadline,
+                       time_point now) {
+  const auto reads = std::make_shared<store::scrubber>(std::make_shared<store::posix_file_system>(), folder);
+  pool_.add({.name = what, .every = every, .deadline = deadline, .after = {}, .budget = {}},
+            [reads](const std::atomic<bool>&) {
+              const store::scrubber::step_result r = reads->step();
+              return scheduler::slice_result{r.more ? scheduler::slice_end::more : scheduler::slice_end::done, r.read, 0,
+                                             r.fault};
+            },
+            now + std::min<duration>(every, std::chrono::seconds(10)));
+}
+
+time_point background::step(time_point now, std::optional<double> cores_busy, std::size_t waiting) {
+  ended_ = false;
+  room_now_ = room_.look(now, cores_busy, waiting);
+  const time_point due = pool_.step(now, room_now_);
+  // Without room the scheduler cannot say when there will be some.
+  due_ = std::max(now + std::chrono::milliseconds(1), std::min(due, room_now_ < 1 ? now + look_every : due));
+  return due_;
+}
+
+std::string background::figures(time_point now) const {
+  std::ostringstream out;
+  out << "background.room=" << room_now_ << "\nbackground.faults=" << counters_.background_faults << '\n';
+  for (const scheduler::job_figures& f : pool_.figures(now)) {
+    const std::string name = "background." + f.name;
+    out << name << ".rounds=" << f.rounds << '\n'
+        << name << ".slices=" << f.slices << '\n'
+        << name << ".failures=" << f.failures << '\n'
+        << name << ".read=" << f.used.read << '\n'
+        << name << ".cpu_ms=" << f.used.cpu / std::chrono::milliseconds(1) << '\n'
+        << name << ".urgent=" << (f.urgent ? 1 : 0) << '\n'
+        << name << ".overrun=" << (f.overrun ? 1 : 0) << '\n';
+  }
+  return out.str();
+}
+
+}  // namespace marblewharf::node
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -26,6 +26,7 @@
 #include "keyed/keeper.hpp"
 #include "net/reactor.hpp"
 #include "net/waker.hpp"
+#include "node/background.hpp"
 #include "ops/drain.hpp"
 #include "ops/figures.hpp"
 #include "ops/handover.hpp"
@@ -151,18 +152,21 @@
   operators_desk(const config& settings, const dispatcher& table, const telemetry::counters& counters,
                  const runtime::link& runtime, const thrift::server& front, ops::drain_state& drain,
                  const fleet::link* in_fleet, const std::optional<dependencies::gatherer>& gathers,
-                 const std::optional<dependencies::writer>& writes, const std::optional<fleet::shares>& shared)
+                 const std::optional<dependencies::writer>& writes, const std::optional<fleet::shares>& shared,
+                 const std::optional<background>& jobs)
       : desk_(table), counters_(counters), runtime_(runtime), front_(front), drain_(drain), fleet_(in_fleet),
         gathers_(gathers),
         writes_(writes),
-        shared_(shared) {
+        shared_(shared),
+        jobs_(jobs) {
     for (const auto& c : settings.settings.classes) classes_.push_back(c.name);
   }
 
   bool ready() override { return runtime_.up() && !front_.leaving(); }
   std::string figures() override {
     return ops::render_figures(counters_, classes_, desk_.unanswered()) + (fleet_ ? fleet_->show_figures() : "") +
-           (gathers_ ? gathers_->figures() : "") + (writes_ ? writes_->figures() : "") + (shared_ ? shared_->show_figures() : "");
+           (gathers_ ? gathers_->figures() : "") + (writes_ ? writes_->figures() : "") +
+           (shared_ ? shared_->show_figures() : "") + (jobs_ ? jobs_->figures(net::steady_now()) : "");
   }
   std::optional<std::string> members() override {
     return fleet_ ? std::optional<std::string>(fleet_->show_members()) : std::nullopt;
@@ -192,6 +196,7 @@
   const std::optional<dependencies::gatherer>& gathers_;
   const std::optional<dependencies::writer>& writes_;
   const std::optional<fleet::shares>& shared_;
+  const std::optional<background>& jobs_;
   std::vector<std::string> classes_;
 };
 
@@ -243,8 +248,10 @@
   std::optional<dependencies::writer> writer;
   // Budgets of the fleet: only where the operator's file names one.
   std::optional<fleet::shares> shared;
+  // Work behind the requests: only where the operator's file asks for some.
+  std::optional<background> jobs;
   operators_desk operators(settings, desk, counters, runtime, front, drained, fleet ? &*fleet : nullptr, gatherer, writer,
-                            shared);
+                            shared, jobs);
   std::optional<console::server> console;
   if (settings.console) {
     console.emplace(reactor, bounds, *settings.console, operators, counters);
@@ -271,6 +278,7 @@
     };
     shared.emplace(*fleet, settings, desk, counters, std::move(calls));
   }
+  if (background::wanted(settings)) jobs.emplace(settings, counters, [&] { waker->wake(); }, net::steady_now());
   time_point leave_at = time_point::max();
   handover_file handover(settings);
   std::uint64_t routed_by = ~std::uint64_t{0};  // the fleet's changes that the routes of calls follow already
@@ -332,6 +340,8 @@
     }
     const time_point shared_due = shared ? shared->step(now) : time_point::max();
     desk.step(now, gauges);
+    if (jobs && !jobs->idle(now))
+      jobs->step(now, busy && *busy < gauges.size() ? std::optional(gauges[*busy]) : std::nullopt, desk.in_hand().waiting);
     if (desk.draining()) {
       // With a successor beside it, every connection this one keeps or takes is one the successor does not.
       const bool leaving = handed_over || now >= leave_at - bounds.leave_early;
@@ -348,7 +358,7 @@
                   gatherer ? gatherer->step(now) : time_point::max(),
                   writer ? writer->step(now) : time_point::max(),
                   console ? console->step(now) : time_point::max(),
-                  fleet_due, shared_due, next_lock_try});
+                  fleet_due, shared_due, next_lock_try, jobs ? jobs->due() : time_point::max()});
     return desk.due() < now ? now : due;
   });
   telemetry::log("stop", "%zu requests open", desk.open());
--- a/src/store/log.cpp
+++ b/src/store/log.cpp
@@ -129,6 +129,10 @@
   return name_of(segment) + std::string(suffix);
 }
 
+std::optional<std::uint64_t> log::number_of(std::string_view name) {
+  return store::number_of(name, suffix);
+}
+
 std::string log::path_of(std::uint64_t number) const {
   return options_.folder + "/" + file_name(number);
 }
--- a/src/store/log.hpp
+++ b/src/store/log.hpp
@@ -11,8 +11,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "store/file_system.hpp"
@@ -56,6 +58,8 @@
                                   const visitor& each);
 
   static std::string file_name(std::uint64_t segment);
+  // Of a name in the folder; none: it is no segment's.
+  static std::optional<std::uint64_t> number_of(std::string_view name);
 
   const recovered_counts& counts() const { return counts_; }
   std::uint64_t salt() const { return options_.salt; }
--- a/tests/net/keyed_test.cpp
+++ b/tests/net/keyed_test.cpp
@@ -524,6 +524,32 @@
   CHECK(s.r->expect("start") == label(9));
 }
 
+// A byte of a closed segment that the disk changed is found by the scrubbing, which names file and byte, and disturbs
+// nobody: other results are told, new writes are kept.
+void changed_on_disk() {
+  site s({}, "scrub = 100ms\n segment = 64KiB\n space = 1MiB");
+  connection c = s.thrift();
+  std::string blob;
+  for (int i = 0; i < 300; ++i) blob += "QUFB";
+  const auto ask = [&](int number, bool runs) {
+    c.send(write_of(number, number, "k" + std::to_string(runs ? number : number - 1000)));
+    if (runs) s.r->end(s.r->expect("start"), "fine", blob);
+    CHECK(read_reply(c).kind == "served");
+  };
+  for (int i = 1; i <= 150; ++i) ask(i, true);
+  const std::string first = s.folder + "/results/0000000000000001.seg";
+  CHECK(std::filesystem::exists(s.folder + "/results/0000000000000003.seg"));
+  CHECK(s.n->log().find("scrub-results") == std::string::npos);
+  {
+    std::fstream file(first, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(20000);
+    file.put('\x7f');
+  }
+  s.n->logged("background: scrub-results: " + first + " at byte ");
+  ask(1150, false);  // a repeat of the last one
+  ask(151, true);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -541,7 +567,8 @@
                                                    {"drain", a_drain_answers_all},
                                                    {"lost_link", a_lost_link},
                                                    {"inquiry", inquiries},
-                                                   {"folders", folders_that_cannot_be_used}};
+                                                   {"folders", folders_that_cannot_be_used},
+                                                   {"scrub", changed_on_disk}};
   tests.at(argv[1])();
   return 0;
 }
