Keep a later write's outcome when an earlier one of its key is found behind it

A write that is still being undone says its marks anew; where its first mark has aged, a start meets that renewal behind a later write of the same key, and writer.cpp's recover() let it take the later one's place in outcomes_: a committed write would be told as one that never ran. Beside it: a renewal could be queued behind the write's own 'over' and begin it again; 'committed' was taken from a decided mark that a later aborted one takes back; and a damaged folder was read again each retry_disk on the reactor's thread.

The change: writes are numbered by their id's second half, which rises also over restarts, and outcomes::begin never lets an earlier one replace a later one; nothing is renewed while a mark is on its way; committed follows the last mark on disk; a damaged folder is not tried again.

Measured: outcomes.bounded fails without the guard in begin() and passes with it; 18 of 18 of writing, dependencies and transaction pass. The renewal behind 'over' has no test of its own.

--- a/src/dependencies/outcomes.cpp
+++ b/src/dependencies/outcomes.cpp
@@ -3,6 +3,8 @@
 namespace marblewharf::dependencies {
 
 void outcomes::begin(const key& k, std::uint64_t which) {
+  const auto before = table_.find(k);
+  if (before != table_.end() && before->second.which > which) return;
   table_[k] = {which, standing::under_way, {}};
 }
 
--- a/src/dependencies/outcomes.hpp
+++ b/src/dependencies/outcomes.hpp
@@ -35,7 +35,8 @@
   explicit outcomes(std::size_t most) : most_(most) {}
 
   bool room() const { return table_.size() < most_; }
-  // Write `which` of this key begins. An earlier one of the key tells nothing any more.
+  // Write `which` of this key begins; numbers rise from write to write, also over restarts. An earlier one of the key tells
+  // nothing any more, and never takes the place of a later one, in whatever order a folder has them.
   void begin(const key& k, std::uint64_t which);
   // It was undone, or never began after all. What is committed stays so.
   void undone(const key& k, std::uint64_t which);
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <cstring>
 #include <sstream>
@@ -85,7 +86,7 @@
 
 struct writer::write {
   write_id id;
-  std::uint64_t number = 0;  // in this process
+  std::uint64_t number = 0;  // the second half of its id: rises from write to write, also over restarts
   std::size_t request_class = 0;
   std::string key;
   std::string payload;
@@ -101,6 +102,7 @@
   bool waits = false;     // found on disk, for room to go on
   bool committed = false;
   log_mark on_disk{};     // the last one; 0 = none
+  unsigned marking = 0;   // marks on their way to disk, renewals aside
   std::uint64_t room = 0; // of reserved_
   store::position result_at;
   std::int64_t result_expiry = 0;
@@ -199,6 +201,8 @@
     log("handover", "%s taken over", config_.writes->folder.c_str());
   } catch (const store::held&) {  // not yet
   } catch (const std::exception& e) {  // it cannot be read: writes stay turned away
+    // Damage does not mend itself, and each try reads the folder on the reactor's thread.
+    if (dynamic_cast<const store::damaged*>(&e) != nullptr) next_try_ = time_point::max();
     open_.clear();
     outcomes_ = outcomes(config_.writes->outcomes);
     log("handover", "%s cannot be taken over: %s", config_.writes->folder.c_str(), e.what());
@@ -244,7 +248,8 @@
     kinds.push_back(config_.dependencies->endpoints[p].one_phase ? part_kind::one_phase : part_kind::two_phase);
   auto w = std::make_shared<write>(std::move(kinds), *plan);
   w->id = id;
-  w->number = ++last_number_;
+  std::from_chars(id.data() + id_size / 2, id.data() + id_size, w->number, 16);
+  last_number_ = std::max(last_number_, w->number);
   w->request_class = request_class;
   w->payload = std::move(payload);
   w->key = std::move(key);
@@ -309,14 +314,14 @@
       const auto& configured = config_.dependencies->endpoints[w->plan->participants[p]].at;
       w->route[p] = static_cast<std::size_t>(std::find(configured.begin(), configured.end(), w->at[p]) - configured.begin());
     }
-    w->committed = m->what == log_mark::decided;
+    w->committed = w->on_disk == log_mark::decided;
     outcomes_.begin(hash_of(w->key), w->number);
     open_[m->id] = std::move(w);
     return;
   }
   write& w = *known->second;
   w.on_disk = std::max(w.on_disk, m->what);
-  if (m->what == log_mark::decided) w.committed = true;
+  w.committed = w.on_disk == log_mark::decided;
   if (m->what != log_mark::over) return;
   if (m->committed) {
     outcomes_.committed(hash_of(w.key), w.number, position, m->expiry);
@@ -359,7 +364,7 @@
   }
   char name[id_size + 1];
   std::snprintf(name, sizeof name, "%016llx%016llx", static_cast<unsigned long long>(random_),
-                static_cast<unsigned long long>(static_cast<std::uint64_t>(now()) + last_number_ + 1));
+                static_cast<unsigned long long>(std::max(last_number_, static_cast<std::uint64_t>(now())) + 1));
   const auto w = make(name, what.request_class, what.payload, key_of(what));
   w->owner = id;
   choose_endpoints(*w);
@@ -479,6 +484,7 @@
     if (w->committed) r.payload = compose_result(*w);
     w->result_expiry = r.expiry;
   }
+  w->marking += renewed ? 0 : 1;
   marks_[++last_ticket_] = {w->id, m, renewed};
   unsent_.emplace_back(last_ticket_, store::entry{{record_type, encode(r)}, r.expiry});
   send_unsent();
@@ -502,6 +508,7 @@
     if (durable) w->renew_at = net::steady_now() + keep_ / 2;
     return;
   }
+  --w->marking;
   if (m.what == log_mark::over) w->result_at = position;
   w->machine.on_logged(m.what, durable);
   advance(w);
@@ -618,7 +625,8 @@
   }
   if (steady >= w->renew_at) {
     w->renew_at = steady + config_.writes->longest_retry;  // unless it gets on disk
-    if (w->on_disk != log_mark{}) mark(w, w->on_disk, true);
+    // Not behind a mark that is on its way: behind the last one it would begin the write again.
+    if (w->on_disk != log_mark{} && w->marking == 0) mark(w, w->on_disk, true);
   }
   schedule(*w);
   advance(w);
--- a/tests/dependencies/outcomes_test.cpp
+++ b/tests/dependencies/outcomes_test.cpp
@@ -78,6 +78,12 @@
   CHECK(!o.room());
   o.age(500);
   CHECK(o.room() && o.of({1, 1}).how == standing::unknown && o.of({2, 2}).how == standing::under_way);
+  // A folder may have an earlier write of a key, whose undoing took long, behind a later one that is over.
+  o.begin({3, 3}, 9);
+  o.committed({3, 3}, 9, {1, 128, 8}, 900);
+  o.begin({3, 3}, 8);
+  o.undone({3, 3}, 8);
+  CHECK(o.of({3, 3}).how == standing::committed && o.of({3, 3}).at.offset == 128);
 }
 
 // Writes and gatherings together never have more than the share, writes alone never more than the participant takes, a
