Count no votes of a zone that was all suspect, and cast none without a quorum in touch

The nodes' logs show all three members of the cut-off z2 declare z1 out, epoch 1, within 100 ms of the heal. Seen: zone_view.cpp's counts() held back only votes of a zone that was *gone*. z2, alone, had stretched its own probes (Lifeguard's local health), so that z1 was dead there while z0's members were suspect still: z0's standing votes on z1 counted at once. Ruled out: copies of old votes (rounds rise), the relay's cuts (nothing passed before the heal), z2's own verdicts before the heal (no quorum). Change: routes.cpp tells *silent* (none alive, none answered of late, some only suspect) from unsure; in_touch() takes silent as gone; and a member votes a zone out only with a quorum of other zones in touch for a lease, so a side that cannot decide brings no vote to the heal.

--- a/src/failover/routes.cpp
+++ b/src/failover/routes.cpp
@@ -10,12 +10,14 @@
   const auto missed = [&](const member_sight& m) { return alive(m) && m.since_miss < rules.contact_window; };
   if (std::any_of(members.begin(), members.end(), alive))
     return std::any_of(members.begin(), members.end(), missed) ? sight::unsure : sight::healthy;
-  const auto gone = [&rules](const member_sight& m) {
+  const auto away = [&rules](const member_sight& m) {
     // Guards against blame by hearsay: one wrong view spreads by gossip, an answer of its own does not lie.
     if (m.since_contact < rules.contact_window) return false;
-    return m.is == member_is::dead || (m.is == member_is::unheard && rules.since_start >= rules.start_grace);
+    return m.is != member_is::unheard || rules.since_start >= rules.start_grace;
   };
-  return !members.empty() && std::all_of(members.begin(), members.end(), gone) ? sight::gone : sight::unsure;
+  if (members.empty() || !std::all_of(members.begin(), members.end(), away)) return sight::unsure;
+  const auto suspect = [](const member_sight& m) { return m.is == member_is::suspect; };
+  return std::any_of(members.begin(), members.end(), suspect) ? sight::silent : sight::gone;
 }
 
 bool zone_routable(const verdict& v, bool own) {
--- a/src/failover/zone_view.cpp
+++ b/src/failover/zone_view.cpp
@@ -56,11 +56,11 @@
   } else {
     healthy_since_.try_emplace(zone, now);
   }
-  if (seen == sight::gone) last_gone_[zone] = now;
+  if (seen == sight::gone || seen == sight::silent) last_away_[zone] = now;
   const verdict current = of(zone);
   // Out is voted at once; in only after hold_down without a break, so a flapping zone stays out. Whoever is unsure
   // stands by what was decided.
-  const bool wants_out = seen == sight::gone;
+  const bool wants_out = seen == sight::gone && quorum_in_touch(zone, now);
   const bool wants_in = seen == sight::healthy && now - healthy_since_[zone] >= options_.hold_down;
   const bool out = wants_out || (current.out && !wants_in);
   const std::uint64_t epoch = wants_out || wants_in ? wanted_epoch(now, zone, out) : current.epoch;
@@ -110,9 +110,18 @@
 }
 
 // Guards against the moment in which cuts heal: votes of both sides meet, each true of its own side until just now.
-bool zone_view::counts(const std::string& voters_zone, time_point now) const {
-  const auto gone = last_gone_.find(voters_zone);
-  return gone == last_gone_.end() || now - gone->second >= options_.vote_lease;
+bool zone_view::in_touch(const std::string& zone, time_point now) const {
+  const auto away = last_away_.find(zone);
+  return away == last_away_.end() || now - away->second >= options_.vote_lease;
+}
+
+// Whether a quorum on zone `without` may be found among those that this member has been in touch with. A side that
+// cannot decide has no vote to bring along when the cut heals.
+bool zone_view::quorum_in_touch(const std::string& without, time_point now) const {
+  const auto touched = std::count_if(zones_.begin(), zones_.end(), [&](const std::string& z) {
+    return z != without && (z == own_zone_ || in_touch(z, now));
+  });
+  return 2 * static_cast<std::size_t>(touched) > zones_.size() - 1;
 }
 
 bool zone_view::tally(time_point now, const std::string& zone) {
@@ -122,7 +131,7 @@
   const std::uint64_t decided = of(zone).epoch;
   std::map<std::uint64_t, std::map<std::string, std::size_t>> votes;  // standing ones, by epoch and the voters' zone
   for (const auto& [voter, b] : ballots_[zone])
-    if (b.what.epoch > decided && stands(b, now) && counts(zone_of_.at(voter), now)) ++votes[b.what.epoch][zone_of_.at(voter)];
+    if (b.what.epoch > decided && stands(b, now) && in_touch(zone_of_.at(voter), now)) ++votes[b.what.epoch][zone_of_.at(voter)];
   // The highest epoch with a quorum: votes for e + 2 mean that their voters saw e + 1 decided.
   for (auto e = votes.rbegin(); e != votes.rend(); ++e) {
     const auto agreeing = std::count_if(e->second.begin(), e->second.end(), [this](const auto& in) {
--- a/src/failover/zone_view.hpp
+++ b/src/failover/zone_view.hpp
@@ -7,9 +7,10 @@
 // Promise: the verdict on zone Z moves to epoch e only on votes for (Z, e) that stand at the same time (each issued
 // again within `vote_lease`, none taken back) from a majority of the configured members of each of a majority of the
 // zones other than Z. The value of epoch e is fixed by its parity (odd: out), so no two members ever hold opposite
-// verdicts of one epoch. Votes of a zone that was gone from here count only after one lease without that: what it stood
-// by while it was cut off is no agreement with this side. A member votes only as it sees the zone. A zone is voted back only after it was healthy
-// without a break for `hold_down`. With fewer than three zones nothing is ever declared out: two halves of a cut would
+// verdicts of one epoch. Votes of a zone that was silent or gone from here count only after one lease without that: what
+// it stood by while it was cut off is no agreement with this side. For the same reason a member votes a zone out only
+// while it has been in touch, for a lease, with enough other zones for a quorum. A member votes only as it sees the
+// zone. A zone is voted back only after it was healthy without a break for `hold_down`. With fewer than three zones nothing is ever declared out: two halves of a cut would
 // each hold the majority of the other zones.
 #pragma once
 
@@ -44,8 +45,9 @@
 
 // What one member sees of a zone.
 enum class sight {
-  gone,     // none of its members answers
-  unsure,   // none is known well, not all are known gone: no reason to change anything
+  gone,     // none of its members answers, all are known gone
+  silent,   // none is known well and none answered of late, but not all are known gone yet
+  unsure,   // neither well nor out of touch: no reason to change anything
   healthy,  // one at least is alive
 };
 
@@ -84,7 +86,8 @@
     time_point heard{};     // when this round of it came first
     unsigned to_pass_on = 0;
   };
-  bool counts(const std::string& voters_zone, time_point now) const;
+  bool in_touch(const std::string& zone, time_point now) const;
+  bool quorum_in_touch(const std::string& without, time_point now) const;
   bool stands(const ballot& b, time_point now) const { return now - b.heard < options_.vote_lease; }
   std::uint64_t wanted_epoch(time_point now, const std::string& zone, bool out) const;
   bool tally(time_point now, const std::string& zone);
@@ -100,7 +103,7 @@
   // The latest vote of each voter, this member among them, by zone: bounded by the configuration.
   std::map<std::string, std::map<std::string, ballot>> ballots_;
   std::map<std::string, time_point> healthy_since_;  // none: not healthy at the last look
-  std::map<std::string, time_point> last_gone_;      // none: never
+  std::map<std::string, time_point> last_away_;      // silent or gone; none: never
   std::uint64_t refused_ = 0;
 };
 
--- a/tests/failover/zone_view_test.cpp
+++ b/tests/failover/zone_view_test.cpp
@@ -125,7 +125,7 @@
       if (*rc::gen::inRange(0, 3) == 0) {
         const std::string& who = f.names[*rc::gen::inRange<std::size_t>(0, f.names.size())];
         const std::string z = fleet::zone(*rc::gen::inRange(0, zones));
-        f.sights[{who, z}] = *rc::gen::element(sight::gone, sight::unsure, sight::healthy);
+        f.sights[{who, z}] = *rc::gen::element(sight::gone, sight::silent, sight::unsure, sight::healthy);
       }
       f.round(random, *rc::gen::inRange(0, 60) / 100.0);
     }
@@ -219,6 +219,37 @@
   }
 }
 
+// The same, but z2 and the others lost each other just now: z2 holds z1 gone while z0's members are only suspect there, and
+// so do not count as gone. Healed in that moment, z2 agreed with z0 that z1 is out, though all three were there.
+void partitions_meet_early() {
+  for (std::uint64_t seed = 1; seed < 20; ++seed) {
+    fleet f(3, 3);
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 10; ++i) f.round(random, 0);
+    for (int z = 0; z < 3; ++z) f.side[fleet::zone(z)] = z;
+    for (int m = 0; m < 3; ++m) f.sights[{fleet::name(2, m), "z0"}] = sight::silent;
+    for (int i = 0; i < 30; ++i) f.round(random, 0);
+    for (int z = 0; z < 3; ++z) f.side[fleet::zone(z)] = 0;
+    f.sights.clear();
+    for (int m = 0; m < 3; ++m)  // z1 is met a little later
+      for (const int z : {0, 2}) f.sights[{fleet::name(z, m), "z1"}] = sight::gone;
+    for (int i = 0; i < 8; ++i) f.round(random, 0);
+    f.sights.clear();
+    for (int i = 0; i < 40; ++i) f.round(random, 0);
+    for (const auto& [member, view] : f.views)
+      for (const std::string& z : view.zones()) CHECK(view.of(z).epoch == 0);
+  }
+}
+
+// A side without a quorum keeps its votes to itself; with a quorum in touch it votes.
+void no_vote_without_a_quorum_in_touch() {
+  zone_view v({{"a", "z0"}, {"b", "z1"}, {"c", "z2"}}, "a", {.hold_down = 1s, .vote_lease = 2s});
+  CHECK(!v.observe(1s, "z2", sight::silent));
+  CHECK(!v.observe(1s, "z1", sight::gone));
+  CHECK(!v.observe(2s, "z2", sight::unsure) && !v.observe(2s, "z1", sight::gone));
+  CHECK(v.observe(3s, "z1", sight::gone));  // z2 not silent for a lease
+}
+
 // Refused: a voter not configured, its own zone, a wrong parity.
 void refused_votes() {
   zone_view v({{"a", "z0"}, {"b", "z1"}, {"c", "z2"}}, "a", {.hold_down = 1s});
@@ -239,7 +270,8 @@
   CHECK(sight_of(std::vector{dead, dead}, rules) == sight::gone);
   CHECK(sight_of(std::vector{dead, alive}, rules) == sight::healthy);
   CHECK(sight_of(std::vector{dead, member_sight{member_is::alive, 10s, 500ms}}, rules) == sight::unsure);
-  CHECK(sight_of(std::vector{dead, suspect}, rules) == sight::unsure);
+  CHECK(sight_of(std::vector{dead, suspect}, rules) == sight::silent);
+  CHECK(sight_of(std::vector{dead, member_sight{member_is::suspect, 500ms}}, rules) == sight::unsure);
   CHECK(sight_of(std::vector{dead, member_sight{member_is::dead, 500ms}}, rules) == sight::unsure);  // hearsay
   CHECK(sight_of(std::vector{dead, unheard}, rules) == sight::gone);
   CHECK(sight_of(std::vector{dead, unheard}, {.since_start = 4s, .start_grace = 5s, .contact_window = 1s}) ==
@@ -260,6 +292,8 @@
   else if (name == "over_time") votes_do_not_add_up_over_time();
   else if (name == "overtaken") overtaken_votes();
   else if (name == "meet") partitions_meet();
+  else if (name == "meet_early") partitions_meet_early();
+  else if (name == "no_quorum_in_touch") no_vote_without_a_quorum_in_touch();
   else if (name == "sights") sights();
   else CHECK(false);
   std::printf("%s passed\n", name.c_str());
