Count a write at its endpoint from the choice on; an unanswered endpoint draws its part only

Ruled out: the steps (each write is "pc" at one endpoint), the draw (odd and even alike). Change: an endpoint with calls out and no answer yet counts as slow as the other one; on_bound/on_unbound count a write from the choice to its end.

--- a/src/dependencies/endpoints.cpp
+++ b/src/dependencies/endpoints.cpp
@@ -9,7 +9,7 @@
 
 constexpr double mean_memory = 8;    // calls
 constexpr double least_weight = 0.1; // share of calls right after it is back
-constexpr double unknown_s = 1e-3;   // taken for one that has not answered yet: it is tried soon
+constexpr double unknown_s = 1e-3;   // taken for one that never was asked: it is tried soon
 constexpr unsigned most_doublings = 16;
 
 }  // namespace
@@ -73,11 +73,15 @@
   const std::size_t n = usable.size();
   const std::size_t a = usable[random % n];
   const std::size_t b = usable[(random % n + 1 + (random >> 32) % std::max<std::size_t>(1, n - 1)) % n];
-  const auto cost = [&](std::size_t i) {
-    const one& e = all_[i];
-    return (e.in_flight + 1) * (e.mean_s > 0 ? e.mean_s : unknown_s) / weight(e, now);
+  // Guards against one that was asked and has not answered yet: taken for quick, it would draw all calls until it does.
+  const auto expected_s = [](const one& e, const one& other) {
+    if (e.mean_s > 0) return e.mean_s;
+    return e.in_flight + e.bound > 0 ? std::max(other.mean_s, unknown_s) : unknown_s;
+  };
+  const auto cost = [&](std::size_t i, std::size_t other) {
+    return (all_[i].in_flight + all_[i].bound + 1) * expected_s(all_[i], all_[other]) / weight(all_[i], now);
   };
-  return cost(b) < cost(a) ? b : a;
+  return cost(b, a) < cost(a, b) ? b : a;
 }
 
 void endpoints::on_start(std::size_t which) {
--- a/src/dependencies/endpoints.hpp
+++ b/src/dependencies/endpoints.hpp
@@ -42,6 +42,9 @@
   // one that finds out whether an endpoint is back.
   std::optional<std::size_t> choose(time_point now, std::uint64_t random, bool may_probe,
                                     std::optional<std::size_t> not_this = std::nullopt);
+  // More than one call will go there: from the choice until on_unbound() it counts as load, with calls in flight or not.
+  void on_bound(std::size_t which) { ++all_[which].bound; }
+  void on_unbound(std::size_t which) { --all_[which].bound; }
   void on_start(std::size_t which);
   // `told`: it answered, well or not; else the call was cancelled and tells nothing.
   void on_end(std::size_t which, time_point now, duration took, bool told, bool well);
@@ -63,6 +66,7 @@
   struct one {
     endpoint_state where = endpoint_state::in;
     unsigned in_flight = 0;
+    unsigned bound = 0;
     unsigned failures = 0;      // in a row
     unsigned calls = 0, failed = 0;  // of the sample
     unsigned times_out = 0;     // in a row
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -186,6 +186,7 @@
   for (const auto& [id, open] : open_) {
     open->room = room_of(open->payload.size());
     reserved_ += open->room;
+    bind_routes(*open, true);
     waiting_ += open->waits = true;
     // Not known here how long its marks still stand: they are renewed at the first look.
     open->renew_at = open->again_at = open->begun;
@@ -268,6 +269,16 @@
     w.route[i] = routes_[d].choose(w.begun, draws_(), true).value_or(0);
     w.at[i] = config_.dependencies->endpoints[d].at[w.route[i]];
   }
+  bind_routes(w, true);
+}
+
+// Its steps begin once it is on disk. Uncounted until then, all that arrive in the meantime would choose the same endpoint.
+void writer::bind_routes(const write& w, bool bound) {
+  for (std::size_t i = 0; i < w.route.size(); ++i) {
+    endpoints* r = route_of(w, i);
+    if (r == nullptr) continue;
+    bound ? r->on_bound(w.route[i]) : r->on_unbound(w.route[i]);
+  }
 }
 
 // None where the endpoint is no longer configured.
@@ -581,6 +592,7 @@
   }
   for (std::size_t i = 0; i < w->talks.size(); ++i)
     if (w->talks[i] != nullptr) step_ended(*w, i, false, false);
+  bind_routes(*w, false);
   calls_.give_back(w->plan->participants);
   share_changed(*w);
   reserved_ -= w->room;
--- a/src/dependencies/writer.hpp
+++ b/src/dependencies/writer.hpp
@@ -76,6 +76,7 @@
   void send_unsent();
   std::shared_ptr<write> make(const write_id& id, std::size_t request_class, std::string payload, std::string key);
   void choose_endpoints(write& w);
+  void bind_routes(const write& w, bool bound);
   endpoints* route_of(const write& w, std::size_t participant);
   void step_ended(const write& w, std::size_t participant, bool told, bool well);
   void recover(std::uint32_t type, std::string_view body, const store::position& at);
--- a/tests/dependencies/decisions_test.cpp
+++ b/tests/dependencies/decisions_test.cpp
@@ -148,6 +148,29 @@
   for (std::uint64_t r = 0; r < 8; ++r) CHECK(ramp.choose(2600ms, r, true) == 1u);
 }
 
+// Of two endpoints the first has answered in 50 ms. The other is asked too, but until it answers it draws no more calls
+// than its part: its time is not known to be short.
+void the_unanswered_draws_its_part() {
+  endpoints all(2, {});
+  all.on_start(0);
+  all.on_end(0, 50ms, 50ms, true, true);
+  CHECK(all.choose(50ms, 0, true) == 1u);  // never asked: tried at once
+  for (std::uint64_t r = 0; r < 40; ++r) all.on_start(*all.choose(50ms, r * 0x100000001ull, true));
+  CHECK(all.in_flight(0) == 20 && all.in_flight(1) == 20);
+  // What is bound to one counts before its first call, and until it is over.
+  endpoints ahead(2, {});
+  ahead.on_start(0);
+  std::array<int, 2> bound{};
+  for (std::uint64_t r = 0; r < 39; ++r) {
+    const std::size_t at = *ahead.choose(1s, r * 0x100000001ull, true);
+    ahead.on_bound(at);
+    ++bound[at];
+  }
+  CHECK(bound[0] == 19 && bound[1] == 20);
+  for (int i = 0; i < 20; ++i) ahead.on_unbound(1);
+  CHECK(ahead.choose(1s, 0, true) == 1u);
+}
+
 // A world of dependencies with delays and faults, in its own time.
 struct world {
   struct sent {
@@ -493,6 +516,7 @@
                                                    {"limit", the_limit_returns},
                                                    {"held_out", few_are_held_out},
                                                    {"choice", the_less_loaded_is_chosen},
+                                                   {"unanswered", the_unanswered_draws_its_part},
                                                    {"gatherings", every_gathering_ends},
                                                    {"eightfold", one_slows_eightfold},
                                                    {"stand_ins", what_stands_in},
