Give the store of tables a thread with group commit; several batches share a frame

Need: a reactor must not wait for a disk, and one sync a batch bounds writes by the disk's syncs. Change: tables::commit_all puts as many batches as fit into one frame, each with a verdict of its own; table_service owns a thread with a bounded queue, carries requests out in order, flushes what waits in time, and lets slices of cleaning, checkpoints and ageing take turns with commits behind a turnstile, as a mutex alone would let slices on end keep commits out.

--- /dev/null
+++ b/src/store/table_service.cpp
@@ -0,0 +1,148 @@
+#include "store/table_service.hpp"
+
+#include <utility>
+
+namespace marblewharf::store {
+namespace {
+
+// Between looks for what waits in memory; also how long a failed flush waits.
+constexpr std::chrono::milliseconds look_every{20};
+
+}  // namespace
+
+table_service::table_service(std::unique_ptr<tables> t, table_service_options o, std::function<std::int64_t()> now,
+                             std::function<void()> notify)
+    : options_(o), now_(std::move(now)), notify_(std::move(notify)), tables_(std::move(t)) {
+  thread_ = std::thread([this] { serve(); });
+}
+
+table_service::~table_service() {
+  {
+    const std::lock_guard lock(guard_);
+    stopping_ = true;
+  }
+  asked_.notify_all();
+  thread_.join();
+}
+
+std::unique_lock<std::mutex> table_service::hold() const {
+  const std::lock_guard turn(turn_);
+  return std::unique_lock(tables_guard_);
+}
+
+bool table_service::commit(std::uint64_t ticket, batch b, durability how) {
+  tables_->expect_possible(b);
+  return ask({ticket, kind::commit, std::move(b), how, {}, {}});
+}
+
+bool table_service::get(std::uint64_t ticket, std::string table, std::string key) {
+  return ask({ticket, kind::get, {}, durability::now, std::move(table), std::move(key)});
+}
+
+bool table_service::ask(task t) {
+  bool first = false;
+  {
+    const std::lock_guard lock(guard_);
+    if (stopping_ || queue_.size() >= options_.queue) return false;
+    first = queue_.empty();
+    queue_.push_back(std::move(t));
+  }
+  if (first) asked_.notify_one();  // else the thread is at work, and looks again before it waits
+  return true;
+}
+
+void table_service::collect(std::vector<done>& out) {
+  const std::lock_guard lock(guard_);
+  out = std::exchange(done_, {});
+}
+
+table_service::slice table_service::step(work what) {
+  const auto lock = hold();
+  slice s;
+  const std::uint64_t before = tables_->show().copied;
+  try {
+    switch (what) {
+      case work::clean: s.more = tables_->clean_step(now_()); break;
+      case work::checkpoint: s.more = tables_->checkpoint_step(now_()); break;
+      case work::age: s.more = tables_->age_step(now_()); break;
+    }
+  } catch (const std::runtime_error& e) {  // io_error or damaged: nobody's request, said by whoever called
+    s.fault = e.what();
+  }
+  s.written = tables_->show().copied - before;
+  return s;
+}
+
+tables::figures table_service::show() const {
+  const auto lock = hold();
+  return tables_->show();
+}
+
+void table_service::flush_if_due(bool always) {
+  const auto lock = hold();
+  const auto due = tables_->flush_due();
+  if (!due || (!always && *due > now_())) return;
+  try {
+    tables_->flush(now_());
+  } catch (const io_error&) {  // it still waits
+  }
+}
+
+void table_service::serve() {
+  std::vector<task> all;
+  while (true) {
+    all.clear();
+    {
+      std::unique_lock lock(guard_);
+      asked_.wait_for(lock, look_every, [this] { return stopping_ || !queue_.empty(); });
+      if (stopping_ && queue_.empty()) break;
+      while (!queue_.empty() && all.size() < options_.group) {
+        all.push_back(std::move(queue_.front()));
+        queue_.pop_front();
+      }
+    }
+    if (!all.empty()) {
+      std::vector<done> out = carry_out(all);
+      {
+        const std::lock_guard lock(guard_);
+        done_.insert(done_.end(), std::make_move_iterator(out.begin()), std::make_move_iterator(out.end()));
+      }
+      notify_();
+    }
+    flush_if_due(false);
+  }
+  flush_if_due(true);
+}
+
+// In their order: a get behind a commit sees it. Durable commits that stand next to each other go together.
+std::vector<table_service::done> table_service::carry_out(std::vector<task>& all) {
+  const auto lock = hold();
+  const std::int64_t now = now_();
+  std::vector<done> out;
+  for (std::size_t i = 0; i < all.size();) {
+    const task& t = all[i];
+    if (t.what == kind::commit && t.how == durability::now) {
+      std::vector<const batch*> group;
+      for (std::size_t k = i; k < all.size() && all[k].what == kind::commit && all[k].how == durability::now; ++k)
+        group.push_back(&all[k].writes);
+      const std::vector<tables::committed> done_with = tables_->commit_all(group, now);
+      for (const tables::committed& c : done_with) out.push_back({all[i++].ticket, kind::commit, c.v, {}, c.fault});
+      continue;
+    }
+    done d{t.ticket, t.what, {}, {}, {}};
+    try {
+      if (t.what == kind::commit) {
+        d.v = tables_->commit(t.writes, t.how, now);
+      } else {
+        d.value = tables_->get(t.table, t.key, now);
+      }
+    } catch (const std::runtime_error& e) {
+      d.fault = e.what();
+    }
+    out.push_back(std::move(d));
+    ++i;
+  }
+  return out;
+}
+
+}  // namespace marblewharf::store
--- /dev/null
+++ b/src/store/table_service.hpp
@@ -0,0 +1,97 @@
+// A store of tables with a thread of its own, so that nobody else has to wait for its disk: batches that are asked for while a
+// commit is under way go to disk together with the next (group commit). Its queue is bounded; what does not fit is told.
+//
+// Background work is done in slices by whoever calls for them, beside the thread: the two take turns, so a commit waits for a
+// slice at most.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "store/tables.hpp"
+
+namespace marblewharf::store {
+
+struct table_service_options {
+  std::size_t queue = 4096;  // requests waiting, at most
+  std::size_t group = 256;   // batches in one commit
+};
+
+class table_service {
+ public:
+  enum class kind { commit, get };
+  struct done {
+    std::uint64_t ticket = 0;
+    kind what = kind::commit;
+    verdict v;                         // of a commit
+    std::optional<std::string> value;  // of a get; none: not there
+    std::string fault;                 // not empty: in doubt, or not read
+  };
+  enum class work { clean, checkpoint, age };
+  struct slice {
+    bool more = false;
+    std::uint64_t written = 0;  // bytes of copies
+    std::string fault;          // not empty: tried again later
+  };
+
+  // `now`: the owner's clock; `notify`: something can be collected. Both from the thread, `now` also from who calls for
+  // slices.
+  table_service(std::unique_ptr<tables> t, table_service_options o, std::function<std::int64_t()> now,
+                std::function<void()> notify);
+  // What was asked for is done first, and what waits in memory is written.
+  ~table_service();
+  table_service(const table_service&) = delete;
+  table_service& operator=(const table_service&) = delete;
+
+  // From any thread. False: the queue is full, nothing was taken. A batch that never may be written throws
+  // std::invalid_argument here.
+  bool commit(std::uint64_t ticket, batch b, durability how);
+  bool get(std::uint64_t ticket, std::string table, std::string key);
+  // Moves to `out` what has been done since the last call, in the order it was asked for. From one thread.
+  void collect(std::vector<done>& out);
+
+  // One slice, from any one thread at a time.
+  slice step(work what);
+  tables::figures show() const;
+
+ private:
+  struct task {
+    std::uint64_t ticket = 0;
+    kind what = kind::commit;
+    batch writes;
+    durability how = durability::now;
+    std::string table, key;
+  };
+
+  std::unique_lock<std::mutex> hold() const;
+  bool ask(task t);
+  void serve();
+  void flush_if_due(bool always);
+  std::vector<done> carry_out(std::vector<task>& all);
+
+  const table_service_options options_;
+  const std::function<std::int64_t()> now_;
+  const std::function<void()> notify_;
+
+  // Held by whoever waits for the tables: a mutex alone is not fair, and slices on end would keep the commits out.
+  mutable std::mutex turn_;
+  mutable std::mutex tables_guard_;
+  std::unique_ptr<tables> tables_;  // under tables_guard_
+
+  std::mutex guard_;
+  std::condition_variable asked_;
+  std::deque<task> queue_;   // under guard_
+  std::vector<done> done_;   // under guard_
+  bool stopping_ = false;    // under guard_
+  std::thread thread_;
+};
+
+}  // namespace marblewharf::store
--- a/src/store/tables.cpp
+++ b/src/store/tables.cpp
@@ -1,6 +1,7 @@
 #include "store/tables.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <stdexcept>
 #include <tuple>
 
@@ -124,81 +125,130 @@
     if (key.size() > options_.longest_key) throw std::invalid_argument("a key of " + std::to_string(key.size()) + " bytes");
     bytes += record_bytes(table, key, value ? value->size() : 0);
   }
-  if (frame_head + bytes > log_->largest_frame())
+  if (frame_head + bytes > options_.disk.segment / 4)  // the largest frame
     throw std::invalid_argument("a batch of " + std::to_string(bytes) + " bytes: over a quarter of a segment");
   return bytes;
 }
 
-verdict tables::may_write(const batch& b) const {
-  const std::uint64_t bytes = bytes_of(b);
-  std::int64_t growth = 0;
-  std::size_t fresh = 0;
+tables::growth tables::growth_of(const batch& b) const {
+  growth g;
   for (const auto& [where, value] : b.all()) {
     const place* p = index_.find(where.first, where.second);
-    if (p != nullptr) growth -= static_cast<std::int64_t>(p->bytes);
+    if (p != nullptr) g.bytes -= static_cast<std::int64_t>(p->bytes);
     if (!value) continue;
-    growth += static_cast<std::int64_t>(record_bytes(where.first, where.second, value->size()));
-    fresh += p == nullptr;
+    g.bytes += static_cast<std::int64_t>(record_bytes(where.first, where.second, value->size()));
+    g.keys += p == nullptr;
   }
-  if (index_.keys() + fresh > options_.most_keys && fresh > 0) return {false, std::nullopt};
+  return g;
+}
+
+// Beside others of a group that are not in the index yet: they count as if all their keys were new to each other.
+verdict tables::verdict_of(const batch& b, std::uint64_t beside, std::int64_t growing, std::size_t fresh_keys) const {
+  const growth g = growth_of(b);
+  if (g.keys > 0 && index_.keys() + fresh_keys + g.keys > options_.most_keys) return {false, std::nullopt};
   if (!log_->is_open()) return {false, retry};
-  return cleaning_.of(disk(), frame_head + bytes, growth);
+  sizes s = disk();
+  s.room = s.room > beside ? s.room - beside : 0;
+  return cleaning_.of(s, frame_head + bytes_of(b), g.bytes > 0 ? g.bytes + std::max<std::int64_t>(growing, 0) : g.bytes);
+}
+
+verdict tables::may_write(const batch& b) const { return verdict_of(b, 0, 0, 0); }
+
+std::vector<tables::pending> tables::records_of(const batch& b, sequence seq) const {
+  std::vector<pending> out;
+  for (const auto& [where, value] : b.all()) {
+    pending p{where.first, where.second, {}, seq, 0, !value};
+    const auto life = options_.life.find(p.table);
+    if (value && life != options_.life.end()) p.expiry = latest_ + life->second.count();
+    const table_record type = value ? table_record::put : table_record::erase;
+    p.what = {{static_cast<std::uint32_t>(type), encode_row({p.table, p.key, value ? *value : std::string(), p.expiry})}, never};
+    out.push_back(std::move(p));
+  }
+  return out;
 }
 
 verdict tables::commit(const batch& b, durability how, std::int64_t now) {
+  if (how == durability::now || bytes_of(b) > lazy_most()) {
+    const committed c = commit_all({&b}, now).front();
+    if (!c.fault.empty()) throw io_error(c.fault);
+    return c.v;
+  }
   if (b.empty()) return {true, std::nullopt};
+  const std::uint64_t bytes = bytes_of(b);
   try {
     reopen(now);
+    if (waiting_bytes_ + bytes > lazy_most()) flush(now);
   } catch (const io_error&) {
     return {false, retry};
   }
   if (const verdict v = may_write(b); !v.may) return v;
-  const std::uint64_t bytes = bytes_of(b);
-  std::vector<pending> fresh;
-  for (const auto& [where, value] : b.all()) {
-    pending p{where.first, where.second, {}, last_ + 1, 0, !value};
-    const auto life = options_.life.find(p.table);
-    if (value && life != options_.life.end()) p.expiry = latest_ + life->second.count();
-    const table_record type = value ? table_record::put : table_record::erase;
-    p.what = {{static_cast<std::uint32_t>(type), encode_row({p.table, p.key, value ? *value : std::string(), p.expiry})}, never};
-    fresh.push_back(std::move(p));
+  if (waiting_.empty()) waiting_since_ = latest_;
+  for (pending& p : records_of(b, ++last_)) {
+    if (p.erased) {
+      index_.erase(p.table, p.key, p.seq);
+    } else {
+      const auto value = std::make_shared<const std::string>(row_of(p.what.what.body, p.table).value);
+      index_.put(p.table, p.key, {{}, p.expiry, record_bytes(p.what.what.body.size()), value}, p.seq);
+    }
+    waiting_.push_back(std::move(p));
   }
-  if (how == durability::lazily && bytes <= lazy_most()) {
-    if (waiting_bytes_ + bytes > lazy_most()) {
-      try {
-        flush(now);
-      } catch (const io_error&) {
-        return {false, retry};
-      }
+  waiting_bytes_ += bytes;
+  figures_.written += bytes;
+  return {true, std::nullopt};
+}
+
+std::vector<tables::committed> tables::commit_all(const std::vector<const batch*>& all, std::int64_t now) {
+  std::vector<committed> out(all.size());
+  std::size_t done = 0;
+  while (done < all.size()) {
+    // One frame: what waits, and as many of the group as fit.
+    std::vector<pending> frame;
+    std::vector<std::size_t> in_it;
+    std::uint64_t bytes = 0;
+    growth grown;
+    std::string fault;
+    try {
+      reopen(now);
+    } catch (const io_error&) {
+      for (; done < all.size(); ++done) out[done].v = {false, retry};
+      return out;
     }
-    if (waiting_.empty()) waiting_since_ = latest_;
-    for (pending& p : fresh) {
-      if (p.erased) {
-        index_.erase(p.table, p.key, p.seq);
-      } else {
-        const auto value = std::make_shared<const std::string>(row_of(p.what.what.body, p.table).value);
-        index_.put(p.table, p.key, {{}, p.expiry, record_bytes(p.what.what.body.size()), value}, p.seq);
-      }
-      waiting_.push_back(std::move(p));
+    sequence seq = last_;
+    std::size_t next = done;
+    for (; next < all.size(); ++next) {
+      const batch& b = *all[next];
+      const std::uint64_t more = bytes_of(b);
+      const std::uint64_t waiting = in_it.empty() ? 0 : waiting_bytes_;
+      if (!in_it.empty() && frame_head + waiting + bytes + more > log_->largest_frame()) break;
+      out[next].v = b.empty() ? verdict{true, std::nullopt} : verdict_of(b, bytes, grown.bytes, grown.keys);
+      if (!out[next].v.may || b.empty()) continue;
+      const growth g = growth_of(b);
+      grown = {grown.bytes + g.bytes, grown.keys + g.keys};
+      for (pending& p : records_of(b, ++seq)) frame.push_back(std::move(p));
+      in_it.push_back(next);
+      bytes += more;
     }
-    waiting_bytes_ += bytes;
-  } else {
-    // What waits goes in the same frame where both fit: one sync for all.
-    if (frame_head + waiting_bytes_ + bytes > log_->largest_frame()) flush(now);
-    const std::size_t before = waiting_.size();
-    waiting_.insert(waiting_.end(), fresh.begin(), fresh.end());
+    done = next;
+    if (in_it.empty()) continue;
     try {
-      append(waiting_, now);
-    } catch (const io_error&) {
-      waiting_.resize(before);
-      throw;
+      if (frame_head + waiting_bytes_ + bytes > log_->largest_frame()) flush(now);
+      const std::size_t before = waiting_.size();
+      waiting_.insert(waiting_.end(), std::make_move_iterator(frame.begin()), std::make_move_iterator(frame.end()));
+      try {
+        append(waiting_, now);
+      } catch (const io_error&) {
+        waiting_.resize(before);
+        throw;
+      }
+      waiting_.clear();
+      waiting_bytes_ = 0;
+      last_ = seq;
+      figures_.written += bytes;
+    } catch (const io_error& e) {
+      for (const std::size_t i : in_it) out[i].fault = e.what();
     }
-    waiting_.clear();
-    waiting_bytes_ = 0;
   }
-  ++last_;
-  figures_.written += bytes;
-  return {true, std::nullopt};
+  return out;
 }
 
 // One frame. The index follows once it is on disk.
--- a/src/store/tables.hpp
+++ b/src/store/tables.hpp
@@ -70,8 +70,17 @@
   // Whether a batch may be written now; of one that may not, when to come back. Throws std::invalid_argument for a batch
   // that never may: a key or a name too long, more than a quarter of a segment.
   verdict may_write(const batch& b) const;
+  // Throws std::invalid_argument for a batch that never may. From any thread: it looks at the options alone.
+  void expect_possible(const batch& b) const { bytes_of(b); }
   // As may_write(); then writes. Throws io_error: in doubt.
   verdict commit(const batch& b, durability how, std::int64_t now);
+  // Several durable ones with as few syncs as frames hold them (group commit), each whole or not there by itself; as
+  // if each had been committed in turn. Throws nothing of the disk's: `fault` says it.
+  struct committed {
+    verdict v;
+    std::string fault;  // not empty: in doubt
+  };
+  std::vector<committed> commit_all(const std::vector<const batch*>& all, std::int64_t now);
   // What waits in memory goes to disk. Throws io_error: it still waits.
   void flush(std::int64_t now);
   // When flush() is due; none: nothing waits.
@@ -131,6 +140,13 @@
 
   void recover(std::uint32_t type, std::string_view body, const position& at);
   std::uint64_t bytes_of(const batch& b) const;
+  verdict verdict_of(const batch& b, std::uint64_t beside, std::int64_t growing, std::size_t fresh_keys) const;
+  struct growth {
+    std::int64_t bytes = 0;
+    std::size_t keys = 0;
+  };
+  growth growth_of(const batch& b) const;
+  std::vector<pending> records_of(const batch& b, sequence seq) const;
   std::int64_t moment(std::int64_t now) const;
   sizes disk() const;
   void append(const std::vector<pending>& all, std::int64_t now);
--- a/tests/store/tables_test.cpp
+++ b/tests/store/tables_test.cpp
@@ -3,17 +3,21 @@
 #include <rapidcheck.h>
 
 #include <array>
+#include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "../check.hpp"
 #include "../keyed/crash_fs.hpp"
-#include "store/tables.hpp"
+#include "store/table_service.hpp"
 
 using namespace marblewharf::store;
 
@@ -592,6 +596,110 @@
   }
 }
 
+// The thread: many writers at once share syncs, each hears of its own; slices on end keep nobody out; a full queue and a
+// failing disk are told; what waits in memory is there after an orderly end.
+void service() {
+  crash::fs fs;
+  std::atomic<std::int64_t> now = second;
+  std::mutex guard;
+  std::condition_variable heard;
+  bool news = false;
+  const auto notify = [&] {
+    const std::lock_guard lock(guard);
+    news = true;
+    heard.notify_all();
+  };
+  {
+    table_service s(std::make_unique<tables>(fs, options(64 << 10), second), {.queue = 500, .group = 64}, [&] { return now.load(); },
+                    notify);
+    std::atomic<bool> over = false;
+    std::thread slices([&] {
+      while (!over) s.step(table_service::work::clean);
+    });
+    const std::uint64_t syncs = fs.calls;
+    std::uint64_t asked = 0, answered = 0, full = 0;
+    while (answered < 4000) {
+      batch b;
+      b.put("for-ever", "k" + std::to_string(asked % 200), std::to_string(asked));
+      if (asked < 4000) {
+        if (s.commit(asked, b, asked % 4 == 3 ? durability::lazily : durability::now)) ++asked;
+        else ++full;
+      }
+      std::vector<table_service::done> out;
+      s.collect(out);
+      for (const auto& d : out) {
+        CHECK(d.ticket == answered && d.v.may && d.fault.empty());  // in their order
+        ++answered;
+      }
+    }
+    over = true;
+    slices.join();
+    std::printf("%llu calls of the disk for %llu batches, queue full %llu times\n", static_cast<unsigned long long>(fs.calls - syncs),
+                static_cast<unsigned long long>(asked), static_cast<unsigned long long>(full));
+    CHECK(fs.calls - syncs < 2 * asked && full > 0);
+    CHECK(s.get(1, "for-ever", "k7") && s.get(2, "for-ever", "none"));
+    batch last;
+    last.put("for-ever", "last", "lazy");
+    CHECK(s.commit(3, last, durability::lazily));
+    batch never;
+    never.put("", "k", "v");
+    try {
+      s.commit(4, never, durability::now);
+      CHECK(false);
+    } catch (const std::invalid_argument&) {
+    }
+    std::vector<table_service::done> all;
+    while (all.size() < 3) {
+      std::unique_lock lock(guard);
+      heard.wait_for(lock, std::chrono::seconds(5), [&] { return std::exchange(news, false); });
+      std::vector<table_service::done> out;
+      s.collect(out);
+      all.insert(all.end(), out.begin(), out.end());
+    }
+    CHECK(all[0].value == "3807" && !all[1].value && all[2].v.may);
+  }
+  tables t(fs, options(64 << 10), second);
+  CHECK(t.get("for-ever", "last", second) == "lazy");
+  t.flush(second);
+  // Of a group whose frame fails each is in doubt, and none is there.
+  fs.how = crash::fault::error;
+  fs.calls = 0;
+  fs.fail_at = 1;
+  batch one, two;
+  one.put("for-ever", "one", "1");
+  two.put("for-ever", "two", "2");
+  for (const auto& c : t.commit_all({&one, &two}, second)) CHECK(!c.fault.empty());
+  CHECK(!t.get("for-ever", "one", second));
+  for (const auto& c : t.commit_all({&one, &two}, second)) CHECK(c.fault.empty() && c.v.may);
+  CHECK(t.get("for-ever", "two", second) == "2");
+}
+
+// Of a group as many are taken as there is room for, as if each had come alone.
+void groups() {
+  crash::fs fs;
+  tables_options o = options();
+  o.most_keys = 10;
+  tables t(fs, o, second);
+  std::vector<batch> all(30);
+  std::vector<const batch*> group;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    all[i].put("for-ever", "k" + std::to_string(i), std::string(100, 'v'));
+    group.push_back(&all[i]);
+  }
+  std::size_t taken = 0;
+  for (const auto& c : t.commit_all(group, second)) taken += c.v.may;
+  CHECK(taken == 10 && t.show().keys == 10);
+  crash::fs small;
+  tables u(small, options(), second);
+  std::vector<const batch*> same(2000, &all[0]);
+  taken = 0;
+  for (const auto& c : u.commit_all(same, second)) taken += c.v.may && c.fault.empty();
+  CHECK(taken > 20 && taken < 2000);
+  while (u.clean_step(second)) {
+  }
+  CHECK(u.commit_all({&all[1]}, second)[0].v.may);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -602,7 +710,8 @@
       {"back_pressure", back_pressure},   {"snapshots", snapshot_holds_cleaning},
       {"checkpoint", checkpoint_and_clock}, {"checkpoint_beside_waiting", checkpoint_beside_waiting},
       {"backup", backup_and_restore},
-      {"failing_disk", failing_disk},     {"bounds", bounds}};
+      {"failing_disk", failing_disk},     {"bounds", bounds},
+      {"service", service},               {"groups", groups}};
   tests.at(argv[1])();
   std::printf("%s passed\n", argv[1]);
   return 0;
