Share one bounded task queue between the committer and the store's thread

Need: table_service.cpp and committer.cpp held the same queue, its bound and its ending twice. Change: store/task_queue, with the rule of what goes together handed in; commit_all refuses a group with an impossible batch before any of it is written. Behaviour of the committer is as before: the first task always, then up to the batch and the largest frame.

--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -7,38 +7,22 @@
 
 committer::committer(std::unique_ptr<log> l, committer_options options, std::function<std::int64_t()> now,
                      std::function<void()> notify)
-    : log_(std::move(l)), options_(options), now_(std::move(now)), notify_(std::move(notify)) {
+    : log_(std::move(l)), options_(options), now_(std::move(now)), notify_(std::move(notify)), queue_(options.queue) {
   report({});
   thread_ = std::thread([this] { serve(); });
 }
 
 committer::~committer() {
-  {
-    const std::lock_guard lock(guard_);
-    stopping_ = true;
-  }
-  asked_.notify_all();
+  queue_.stop();
   thread_.join();
 }
 
 bool committer::write(std::uint64_t ticket, entry what) {
-  return ask({ticket, kind::write, std::move(what), {}});
+  return queue_.push({ticket, kind::write, std::move(what), {}});
 }
 
 bool committer::read(std::uint64_t ticket, const position& at) {
-  return ask({ticket, kind::read, {}, at});
-}
-
-bool committer::ask(task t) {
-  bool first = false;
-  {
-    const std::lock_guard lock(guard_);
-    if (stopping_ || queue_.size() >= options_.queue) return false;
-    first = queue_.empty();
-    queue_.push_back(std::move(t));
-  }
-  if (first) asked_.notify_one();  // else the thread is at work, and looks again before it waits
-  return true;
+  return queue_.push({ticket, kind::read, {}, at});
 }
 
 committer::condition committer::collect(std::vector<done>& out) {
@@ -50,23 +34,13 @@
 void committer::serve() {
   auto next_look = std::chrono::steady_clock::now() + options_.tidy;
   std::vector<task> batch;
-  while (true) {
-    batch.clear();
-    bool look = false;
-    {
-      std::unique_lock lock(guard_);
-      const auto wait = log_->is_open() ? options_.tidy : options_.retry;
-      asked_.wait_for(lock, wait, [this] { return stopping_ || !queue_.empty(); });
-      if (stopping_ && queue_.empty()) return;
-      std::uint64_t bytes = 0;
-      while (!queue_.empty() && batch.size() < options_.batch) {
-        bytes += room_for(queue_.front().writes.what.body.size());
-        if (!batch.empty() && bytes > log_->largest_frame()) break;
-        batch.push_back(std::move(queue_.front()));
-        queue_.pop_front();
-      }
-      look = std::chrono::steady_clock::now() >= next_look;
-    }
+  std::uint64_t bytes = 0;
+  const auto fits = [&](const task& t, std::size_t taken) {
+    bytes = (taken == 0 ? 0 : bytes) + room_for(t.writes.what.body.size());
+    return taken == 0 || (taken < options_.batch && bytes <= log_->largest_frame());
+  };
+  while (queue_.take(batch, log_->is_open() ? options_.tidy : options_.retry, fits)) {
+    const bool look = std::chrono::steady_clock::now() >= next_look;
     if (!batch.empty()) commit(batch);
     if (!look) continue;
     look_after(true);
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -3,9 +3,7 @@
 // what fits and says so where it does not.
 #pragma once
 
-#include <condition_variable>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -14,6 +12,7 @@
 #include <vector>
 
 #include "store/log.hpp"
+#include "store/task_queue.hpp"
 
 namespace marblewharf::store {
 
@@ -68,7 +67,6 @@
     position reads;
   };
 
-  bool ask(task t);
   void serve();
   void commit(std::vector<task>& batch);
   void look_after(bool due);
@@ -79,12 +77,10 @@
   const std::function<std::int64_t()> now_;
   const std::function<void()> notify_;
 
+  task_queue<task> queue_;
   std::mutex guard_;
-  std::condition_variable asked_;
-  std::deque<task> queue_;   // under guard_
   std::vector<done> done_;   // under guard_
   condition condition_;      // under guard_
-  bool stopping_ = false;    // under guard_
   std::string fault_;        // the thread's own
   std::uint64_t commits_ = 0;
   std::thread thread_;
--- a/src/store/table_service.cpp
+++ b/src/store/table_service.cpp
@@ -12,16 +12,13 @@
 
 table_service::table_service(file_system& fs, std::string folder, std::unique_ptr<tables> t, table_service_options o,
                              std::function<std::int64_t()> now, std::function<void()> notify)
-    : fs_(fs), folder_(std::move(folder)), options_(o), now_(std::move(now)), notify_(std::move(notify)), tables_(std::move(t)) {
+    : fs_(fs), folder_(std::move(folder)), options_(o), now_(std::move(now)), notify_(std::move(notify)), tables_(std::move(t)),
+      queue_(o.queue) {
   thread_ = std::thread([this] { serve(); });
 }
 
 table_service::~table_service() {
-  {
-    const std::lock_guard lock(guard_);
-    stopping_ = true;
-  }
-  asked_.notify_all();
+  queue_.stop();
   thread_.join();
 }
 
@@ -32,23 +29,11 @@
 
 bool table_service::commit(std::uint64_t ticket, batch b, durability how) {
   tables_->expect_possible(b);
-  return ask({ticket, kind::commit, std::move(b), how, {}, {}});
+  return queue_.push({ticket, kind::commit, std::move(b), how, {}, {}});
 }
 
 bool table_service::get(std::uint64_t ticket, std::string table, std::string key) {
-  return ask({ticket, kind::get, {}, durability::now, std::move(table), std::move(key)});
-}
-
-bool table_service::ask(task t) {
-  bool first = false;
-  {
-    const std::lock_guard lock(guard_);
-    if (stopping_ || queue_.size() >= options_.queue) return false;
-    first = queue_.empty();
-    queue_.push_back(std::move(t));
-  }
-  if (first) asked_.notify_one();  // else the thread is at work, and looks again before it waits
-  return true;
+  return queue_.push({ticket, kind::get, {}, durability::now, std::move(table), std::move(key)});
 }
 
 void table_service::collect(std::vector<done>& out) {
@@ -109,17 +94,8 @@
 
 void table_service::serve() {
   std::vector<task> all;
-  while (true) {
-    all.clear();
-    {
-      std::unique_lock lock(guard_);
-      asked_.wait_for(lock, look_every, [this] { return stopping_ || !queue_.empty(); });
-      if (stopping_ && queue_.empty()) break;
-      while (!queue_.empty() && all.size() < options_.group) {
-        all.push_back(std::move(queue_.front()));
-        queue_.pop_front();
-      }
-    }
+  const auto fits = [this](const task&, std::size_t taken) { return taken < options_.group; };
+  while (queue_.take(all, look_every, fits)) {
     if (!all.empty()) {
       std::vector<done> out = carry_out(all);
       {
--- a/src/store/table_service.hpp
+++ b/src/store/table_service.hpp
@@ -5,9 +5,7 @@
 // slice at most.
 #pragma once
 
-#include <condition_variable>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -17,6 +15,7 @@
 #include <vector>
 
 #include "store/tables.hpp"
+#include "store/task_queue.hpp"
 
 namespace marblewharf::store {
 
@@ -72,7 +71,6 @@
   };
 
   std::unique_lock<std::mutex> hold() const;
-  bool ask(task t);
   void serve();
   void flush_if_due(bool always);
   std::vector<done> carry_out(std::vector<task>& all);
@@ -90,11 +88,9 @@
   mutable std::mutex tables_guard_;
   std::unique_ptr<tables> tables_;  // under tables_guard_
 
+  task_queue<task> queue_;
   std::mutex guard_;
-  std::condition_variable asked_;
-  std::deque<task> queue_;   // under guard_
-  std::vector<done> done_;   // under guard_
-  bool stopping_ = false;    // under guard_
+  std::vector<done> done_;  // under guard_
   std::thread thread_;
 };
 
--- a/src/store/tables.cpp
+++ b/src/store/tables.cpp
@@ -198,6 +198,7 @@
 }
 
 std::vector<tables::committed> tables::commit_all(const std::vector<const batch*>& all, std::int64_t now) {
+  for (const batch* b : all) expect_possible(*b);  // before any of them is written
   std::vector<committed> out(all.size());
   std::size_t done = 0;
   while (done < all.size()) {
--- a/src/store/tables.hpp
+++ b/src/store/tables.hpp
@@ -75,7 +75,8 @@
   // As may_write(); then writes. Throws io_error: in doubt.
   verdict commit(const batch& b, durability how, std::int64_t now);
   // Several durable ones with as few syncs as frames hold them (group commit), each whole or not there by itself; as
-  // if each had been committed in turn. Throws nothing of the disk's: `fault` says it.
+  // if each had been committed in turn. Throws nothing of the disk's: `fault` says it; std::invalid_argument as may_write(),
+  // then none is written.
   struct committed {
     verdict v;
     std::string fault;  // not empty: in doubt
