Test cleaning and checkpoints on a disk that fails at each of their calls, or fills up

Change: tables.cleaning_fails fails each call in turn, once or until the disk is mended, whole or cut short, and reads the state in this process and after a start that loses what was not synced.

--- a/tests/store/tables_test.cpp
+++ b/tests/store/tables_test.cpp
@@ -564,6 +564,59 @@
   CHECK(t.commit(lost, durability::now, second).may);
 }
 
+// Each call of the disk that cleaning and checkpoints make fails in turn: once, or from then on until the disk is mended (a
+// full disk, a folder that became read-only). Nothing is lost, in this process or the next, and the work is done in the end.
+void cleaning_on_a_failing_disk() {
+  std::size_t failed = 0;
+  for (const bool stays : {false, true})
+    for (const crash::fault how : {crash::fault::error, crash::fault::cut_short})
+      for (std::uint64_t call = 1; call <= 60; ++call) {
+        crash::fs fs;
+        state expected;
+        {
+          tables t(fs, options(), second);
+          for (int i = 0; i < 200; ++i) {
+            batch b;
+            b.put("for-ever", "k" + std::to_string(i % 7), std::to_string(i) + std::string(60, 'v'));
+            if (i % 5 == 0) b.erase("for-ever", "k" + std::to_string((i + 2) % 7));
+            if (!t.commit(b, durability::now, second).may) break;
+            expected = after(expected, b, second);
+          }
+          fs.how = how;
+          fs.stays_broken = stays;
+          fs.calls = 0;
+          fs.fail_at = call;
+          int tries = 0;
+          for (bool more = true; more && tries < 50;) {
+            try {
+              while (t.clean_step(second)) {
+              }
+              while (t.checkpoint_step(second)) {
+              }
+              more = false;
+            } catch (const io_error&) {
+              ++failed;
+              CHECK(read_all(t, second) == visible(expected, second));
+              if (++tries == 3) fs.fail_at = 0;  // mended
+            }
+          }
+          fs.fail_at = 0;  // where it was not reached
+          CHECK(tries < 50 && t.show().cleaned > 3);
+          CHECK(read_all(t, second) == visible(expected, second));
+          batch b;
+          b.put("for-ever", "after", "1");
+          for (int i = 0; !t.commit(b, durability::now, second).may; ++i) CHECK(i < 5);
+          expected = after(expected, b, second);
+        }
+        std::mt19937 random(static_cast<unsigned>(call));
+        fs.restart(random);
+        tables t(fs, options(), second);
+        CHECK(read_all(t, second) == visible(expected, second));
+      }
+  std::printf("%zu failures\n", failed);
+  CHECK(failed > 200);
+}
+
 void bounds() {
   crash::fs fs;
   tables_options o = options();
@@ -720,6 +773,7 @@
       {"checkpoint", checkpoint_and_clock}, {"checkpoint_beside_waiting", checkpoint_beside_waiting},
       {"backup", backup_and_restore},
       {"failing_disk", failing_disk},     {"bounds", bounds},
+      {"cleaning_fails", cleaning_on_a_failing_disk},
       {"service", service},               {"groups", groups}};
   tests.at(argv[1])();
   std::printf("%s passed\n", argv[1]);
