Ask an endpoint that was never asked, and one that was slow once, again

Where the first two answered in 0.2 ms, endpoints.cpp:78-79 took the third, never asked, for 1 ms (unknown_s), so it lost each comparison for ever. Ruled out: the member's state (alive in show-members), the draw (all pairs come). The same lines never forget a mean: one slow call keeps an endpoint out until another one stalls. Change: one that never was asked costs nothing and is next; a mean fades by half in 'fade' (2 s, operator's file) without calls, and what is left of it weighs as little in the next mean. Way not taken: a share of calls drawn at random, which costs the same at any difference; fading asks one eight times as slow once in three times 'fade'.

--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -175,6 +175,7 @@
                                      CFG_STR("out", "2s", CFGF_NONE),
                                      CFG_STR("most_out", "0.5", CFGF_NONE),
                                      CFG_STR("ramp", "5s", CFGF_NONE),
+                                     CFG_STR("fade", "2s", CFGF_NONE),
                                      CFG_STR("one_phase", "no", CFGF_NONE),
                                      CFG_STR_LIST("places", nullptr, CFGF_NONE),
                                      CFG_STR("overprovisioning", "1.4", CFGF_NONE),
@@ -378,6 +379,7 @@
       r.health.out = s.time("out", 1ms, 600s);
       r.health.most_out = s.number("most_out", 0, 1);
       r.health.ramp = s.time("ramp", 1ms, 600s);
+      r.health.fade = s.time("fade", 1ms, 600s);
       all.endpoints.push_back(std::move(d));
       all.rules.push_back(std::move(r));
     });
--- a/src/dependencies/endpoints.cpp
+++ b/src/dependencies/endpoints.cpp
@@ -9,7 +9,7 @@
 
 constexpr double mean_memory = 8;    // calls
 constexpr double least_weight = 0.1; // share of calls right after it is back
-constexpr double unknown_s = 1e-3;   // taken for one that never was asked: it is tried soon
+constexpr double unknown_s = 1e-3;   // taken for one that was asked and has not answered, where nothing better is known
 constexpr unsigned most_doublings = 16;
 
 }  // namespace
@@ -29,6 +29,11 @@
   return std::clamp(done, least_weight, 1.0);
 }
 
+// Guards against an endpoint that was slow once: passed over for that, it would never show that it no longer is.
+double endpoints::left_of_mean(duration unasked) const {
+  return std::exp2(-std::max(0.0, std::chrono::duration<double>(unasked) / std::chrono::duration<double>(rules_.fade)));
+}
+
 // Those among which the call goes, all of one level: the level by the levels' able shares (failover/locality).
 std::vector<std::size_t> endpoints::near_ones(time_point now, std::uint64_t random,
                                               std::optional<std::size_t> not_this) const {
@@ -73,10 +78,11 @@
   const std::size_t n = usable.size();
   const std::size_t a = usable[random % n];
   const std::size_t b = usable[(random % n + 1 + (random >> 32) % std::max<std::size_t>(1, n - 1)) % n];
-  // Guards against one that was asked and has not answered yet: taken for quick, it would draw all calls until it does.
-  const auto expected_s = [](const one& e, const one& other) {
-    if (e.mean_s > 0) return e.mean_s;
-    return e.in_flight + e.bound > 0 ? std::max(other.mean_s, unknown_s) : unknown_s;
+  // One that never was asked is asked next: whatever time were taken for it, others may be quicker for ever. Guards against
+  // one that was asked and has not answered yet: taken for quick, it would draw all calls until it does.
+  const auto expected_s = [&](const one& e, const one& other) {
+    if (e.mean_s > 0) return e.mean_s * (e.in_flight > 0 ? 1 : left_of_mean(now - e.idle_since));
+    return e.in_flight + e.bound > 0 ? std::max(other.mean_s, unknown_s) : 0;
   };
   const auto cost = [&](std::size_t i, std::size_t other) {
     return (all_[i].in_flight + all_[i].bound + 1) * expected_s(all_[i], all_[other]) / weight(all_[i], now);
@@ -86,18 +92,21 @@
 
 void endpoints::on_start(std::size_t which) {
   one& e = all_[which];
-  ++e.in_flight;
+  e.was_idle = e.in_flight++ == 0;
   if (e.where == endpoint_state::probing) e.probe_out = true;
 }
 
 void endpoints::on_end(std::size_t which, time_point now, duration took, bool told, bool well) {
   one& e = all_[which];
   if (e.in_flight > 0) --e.in_flight;
+  // What is known weighs as little in the new mean as it did in the choice.
+  const double kept = std::exchange(e.was_idle, false) ? left_of_mean(now - took - e.idle_since) : 1;
+  if (e.in_flight == 0) e.idle_since = now;
   const bool was_probe = e.where == endpoint_state::probing;
   if (was_probe) e.probe_out = false;
   if (!told) return;
   const double s = std::chrono::duration<double>(took).count();
-  e.mean_s = e.mean_s <= 0 ? s : e.mean_s + (s - e.mean_s) / mean_memory;
+  e.mean_s = e.mean_s <= 0 ? s : e.mean_s + (s - e.mean_s) * std::max(1 / mean_memory, 1 - kept);
   if (++e.calls >= 2 * rules_.sample) {
     e.calls /= 2;
     e.failed /= 2;
--- a/src/dependencies/endpoints.hpp
+++ b/src/dependencies/endpoints.hpp
@@ -1,7 +1,8 @@
 // The endpoints of one dependency: which is in use, which is held out, and which takes the next call. Held out after a run
 // of failures or where far more fail than not; no more than a share of all at once; back by single probes, then with a
 // share of the calls that grows. The choice is the better of two drawn at random by load and latency (Mitzenmacher,
-// 'The power of two choices', 2001). Clock and randomness are handed in.
+// 'The power of two choices', 2001); what is known of one that is not asked fades, as in Finagle's peak EWMA, so that each
+// is asked now and then. Clock and randomness are handed in.
 #pragma once
 
 #include <cstdint>
@@ -24,6 +25,7 @@
   duration longest_out = std::chrono::seconds(30);
   unsigned probes = 2;                              // in a row that succeed, until it is back
   duration ramp = std::chrono::seconds(5);          // until it has its full share of calls again
+  duration fade = std::chrono::seconds(2);          // without calls, until half of its latency is forgotten
 };
 
 enum class endpoint_state { in, out, probing, ramping };
@@ -73,13 +75,16 @@
     unsigned probes_well = 0;
     bool probe_out = false;     // a probe is in flight
     bool reachable = true;
-    double mean_s = 0;          // latency of late
+    double mean_s = 0;          // latency of late; 0: none known
+    bool was_idle = false;      // until the only call in flight began
+    time_point idle_since{};    // nothing in flight
     time_point until{};         // out
     time_point since{};         // ramping
     time_point not_before{};    // it asked for
   };
 
   double weight(const one& e, time_point now) const;
+  double left_of_mean(duration unasked) const;
   bool full(const one& e) const { return near_.rules.most_each > 0 && e.in_flight >= near_.rules.most_each; }
   std::vector<std::size_t> near_ones(time_point now, std::uint64_t random, std::optional<std::size_t> not_this) const;
   void hold_out(std::size_t which, time_point now, const char* why);
--- a/tests/dependencies/decisions_test.cpp
+++ b/tests/dependencies/decisions_test.cpp
@@ -171,6 +171,35 @@
   CHECK(ahead.choose(1s, 0, true) == 1u);
 }
 
+// Three endpoints, calls one after the other. The one that was not drawn at first is asked all the same, though the others are
+// quicker than anything that could be taken for it; one that was slow once is asked again after a while, and one that stays
+// eight times as slow gets few calls.
+void each_is_asked_now_and_then() {
+  std::mt19937_64 draws(7);
+  endpoints all(3, {.fade = 500ms});
+  time_point now{};
+  const auto ask = [&](int calls, const std::array<duration, 3>& takes) {
+    std::array<int, 3> got{};
+    for (int i = 0; i < calls; ++i) {
+      const std::size_t at = *all.choose(now, draws(), true);
+      ++got[at];
+      all.on_start(at);
+      now += takes[at];
+      all.on_end(at, now, takes[at], true, true);
+      now += 1ms;
+    }
+    return got;
+  };
+  const std::array<duration, 3> alike{200us, 200us, 200us};
+  for (const int got : ask(60, alike)) CHECK(got > 5);
+  ask(1, {50ms, 50ms, 50ms});  // one of them stalls once
+  ask(6000, alike);            // 7 s
+  for (const int got : ask(600, alike)) CHECK(got > 60);
+  const auto slow = ask(10'000, {1600us, 200us, 200us});  // 12 s: once in three times 500 ms
+  CHECK(slow[0] >= 4 && slow[0] < 40);
+  for (const int got : ask(6000, alike)) CHECK(got > 600);  // well again
+}
+
 // A world of dependencies with delays and faults, in its own time.
 struct world {
   struct sent {
@@ -517,6 +546,7 @@
                                                    {"held_out", few_are_held_out},
                                                    {"choice", the_less_loaded_is_chosen},
                                                    {"unanswered", the_unanswered_draws_its_part},
+                                                   {"now_and_then", each_is_asked_now_and_then},
                                                    {"gatherings", every_gathering_ends},
                                                    {"eightfold", one_slows_eightfold},
                                                    {"stand_ins", what_stands_in},
