--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -111,7 +111,7 @@
 };
 table_loads tables_form(const std::string& folder) {
   posix_file_system fs;
-  table_service s(fs, folder, std::make_unique<tables>(fs, options(folder, 1.5), unix_now()), {}, unix_now, [] {});
+  table_service s(std::make_shared<posix_file_system>(), folder, std::make_unique<tables>(fs, options(folder, 1.5), unix_now()), {}, unix_now, [] {});
   skewed key{20'000};
   const auto write = [&](std::uint64_t t) {
     batch b;
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "config/units.hpp"
+#include "store/cleaning.hpp"
 
 namespace marblewharf {
 namespace {
@@ -613,8 +614,9 @@
     w.folder = s.needed("folder");
     w.step_var = s.needed("step_var");
     w.id_var = s.needed("id_var");
-    w.segment = s.bytes("segment", 256 << 10, std::uint64_t{1} << 30);
-    w.space = s.bytes("space", 4 * w.segment, std::uint64_t{1} << 50);
+    // A batch is at most a quarter of a segment, and a result may take write_buffer; cleaning needs room to turn.
+    w.segment = s.bytes("segment", 1 << 20, std::uint64_t{1} << 30);
+    w.space = s.bytes("space", store::least_segments * w.segment, std::uint64_t{1} << 50);
     w.retry = s.time("retry", 10ms, 60s);
     w.longest_retry = s.time("longest_retry", w.retry, 3600s);
     w.outcomes = s.count("outcomes", 1, 100'000'000);
--- a/src/dependencies/outcomes.cpp
+++ b/src/dependencies/outcomes.cpp
@@ -5,7 +5,7 @@
 void outcomes::begin(const key& k, std::uint64_t which) {
   const auto before = table_.find(k);
   if (before != table_.end() && before->second.which > which) return;
-  table_[k] = {which, standing::under_way, {}};
+  table_[k] = {which, standing::under_way};
 }
 
 void outcomes::undone(const key& k, std::uint64_t which) {
@@ -13,17 +13,16 @@
   if (at != table_.end() && at->second.which == which && at->second.how == standing::under_way) table_.erase(at);
 }
 
-void outcomes::committed(const key& k, std::uint64_t which, const store::position& at, moment expiry) {
+void outcomes::committed(const key& k, std::uint64_t which, moment expiry) {
   const auto found = table_.find(k);
   if (found == table_.end() || found->second.which != which) return;
   found->second.how = standing::committed;
-  found->second.at = at;
   ageing_.push_back({expiry, which, k});
 }
 
 outcomes::known outcomes::of(const key& k) const {
   const auto at = table_.find(k);
-  return at == table_.end() ? known{} : known{at->second.how, at->second.at};
+  return at == table_.end() ? known{} : known{at->second.how, at->second.which};
 }
 
 void outcomes::age(moment now) {
--- a/src/dependencies/outcomes.hpp
+++ b/src/dependencies/outcomes.hpp
@@ -2,16 +2,14 @@
 // A key that is not here never began, or was undone at all participants; so none may be dropped before its time, and
 // where there is no room a write is turned away instead.
 //
-// Free of I/O and clocks: moments are handed in, results stand on disk and only their positions here. One thread at a
-// time. About 100 bytes a key.
+// Free of I/O and clocks: moments are handed in, results stand on disk, and only the numbers of their writes here. One
+// thread at a time. About 100 bytes a key.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <unordered_map>
 
-#include "store/position.hpp"
-
 namespace marblewharf::dependencies {
 
 class outcomes {
@@ -25,11 +23,11 @@
   enum class standing {
     unknown,    // never begun, or undone
     under_way,  // begun, and not over
-    committed,  // its result stands at `at`
+    committed,  // its result is on disk under its number
   };
   struct known {
     standing how = standing::unknown;
-    store::position at{};
+    std::uint64_t which = 0;  // the write's number
   };
 
   explicit outcomes(std::size_t most) : most_(most) {}
@@ -41,7 +39,7 @@
   // It was undone, or never began after all. What is committed stays so.
   void undone(const key& k, std::uint64_t which);
   // It is over at all participants. `expiry`: not before that of any told before.
-  void committed(const key& k, std::uint64_t which, const store::position& at, moment expiry);
+  void committed(const key& k, std::uint64_t which, moment expiry);
 
   known of(const key& k) const;
   // Forgets what has aged. What is under way does not age.
@@ -54,7 +52,6 @@
   struct entry {
     std::uint64_t which = 0;
     standing how = standing::under_way;
-    store::position at{};
   };
   struct due {
     moment expiry = 0;
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -4,14 +4,12 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
-#include <cstring>
 #include <sstream>
 #include <utility>
 
 #include "dependencies/compose.hpp"
-#include "keyed/records.hpp"
+#include "dependencies/write_folder.hpp"
 #include "uwsgi/packet.hpp"
 
 namespace marblewharf::dependencies {
@@ -21,58 +19,6 @@
 namespace {
 
 constexpr duration age_every = std::chrono::seconds(1);
-constexpr std::uint32_t record_type = 16;
-constexpr std::size_t id_size = 32;
-
-// A mark on disk: id, expiry, mark, whether it committed; then class, key, payload and endpoints, each with its length.
-// What only matters with some marks is empty in others. Marks of before endpoints were chosen end after the payload.
-struct mark_record {
-  std::string id;
-  std::int64_t expiry = 0;
-  log_mark what{};
-  bool committed = false;
-  std::string request_class, key, payload;
-  std::string endpoints;  // of its participants, as host:port with a blank between; empty: the first of each
-};
-
-std::string encode(const mark_record& m) {
-  std::string out = m.id;
-  const auto put = [&out](auto value) { out.append(reinterpret_cast<const char*>(&value), sizeof value); };
-  put(m.expiry);
-  put(static_cast<std::uint32_t>(m.what));
-  put(static_cast<std::uint32_t>(m.committed));
-  for (const std::string* text : {&m.request_class, &m.key, &m.payload, &m.endpoints}) {
-    put(static_cast<std::uint32_t>(text->size()));
-    out += *text;
-  }
-  return out;
-}
-
-std::optional<mark_record> decode(std::uint32_t type, std::string_view in) {
-  constexpr std::size_t fixed = id_size + 16;
-  if (type != record_type || in.size() < fixed) return std::nullopt;
-  mark_record m;
-  m.id = in.substr(0, id_size);
-  std::uint32_t what = 0, committed = 0;
-  std::memcpy(&m.expiry, in.data() + id_size, 8);
-  std::memcpy(&what, in.data() + id_size + 8, 4);
-  std::memcpy(&committed, in.data() + id_size + 12, 4);
-  m.what = static_cast<log_mark>(what);
-  m.committed = committed != 0;
-  in.remove_prefix(fixed);
-  for (std::string* text : {&m.request_class, &m.key, &m.payload, &m.endpoints}) {
-    std::uint32_t size = 0;
-    if (in.empty() && text == &m.endpoints) break;
-    if (in.size() < sizeof size) return std::nullopt;
-    std::memcpy(&size, in.data(), sizeof size);
-    in.remove_prefix(sizeof size);
-    if (size > in.size()) return std::nullopt;
-    *text = in.substr(0, size);
-    in.remove_prefix(size);
-  }
-  return m;
-}
-
 const char* name_of(step_kind what) {
   switch (what) {
     case step_kind::prepare: return "prepare";
@@ -96,16 +42,12 @@
   time_point begun{};
   time_point decide_by = time_point::max();
   time_point again_at{};
-  time_point renew_at{};  // its marks on disk, before they age
   time_point due{};       // in due_
   duration pause{};       // before the next again
   bool waits = false;     // found on disk, for room to go on
   bool committed = false;
   log_mark on_disk{};     // the last one; 0 = none
-  unsigned marking = 0;   // marks on their way to disk, renewals aside
   std::uint64_t room = 0; // of reserved_
-  store::position result_at;
-  std::int64_t result_expiry = 0;
   std::vector<std::shared_ptr<uwsgi::exchange>> talks;  // by participant
   std::vector<part_result> results;                     // by participant, of its commit
   std::vector<endpoint> at;                             // by participant: the one endpoint that all its steps go to
@@ -133,13 +75,13 @@
 
 }  // namespace
 
-writer::writer(net::reactor& r, const config& settings, dispatcher& d, gatherer& behind, store::file_system& fs,
-               std::uint64_t random, std::function<void()> notify)
+writer::writer(net::reactor& r, const config& settings, dispatcher& d, gatherer& behind,
+               std::shared_ptr<store::file_system> fs, std::uint64_t random, std::function<void()> notify)
     : reactor_(r),
       config_(settings),
       dispatcher_(d),
       behind_(behind),
-      fs_(fs),
+      fs_(std::move(fs)),
       notify_(std::move(notify)),
       keep_(longest_window(*settings.writes)),
       random_(random),
@@ -161,35 +103,30 @@
 
 void writer::open_folder() {
   const writes_config& w = *config_.writes;
-  store::log_options o;
-  o.folder = w.folder;
-  o.segment = w.segment;
-  o.space = w.space;
-  o.salt = random_;
-  auto marks = std::make_unique<store::log>(
-      fs_, o,
-      [](std::uint32_t type, std::string_view body) {
-        const auto m = decode(type, body);
-        return m ? m->expiry : 0;
-      },
-      [this](std::uint32_t type, std::string_view body, const store::position& at) { recover(type, body, at); });
-  clock_ = keyed::ageing_clock(std::chrono::system_clock::now().time_since_epoch(),
-                               std::chrono::nanoseconds(marks->counts().latest), net::steady_now());
-  marks->open(now());
+  const std::chrono::nanoseconds unix_now = std::chrono::system_clock::now().time_since_epoch();
+  write_folder found = open_write_folder(*fs_, {w.folder, w.segment, w.space, keep_, random_}, unix_now.count());
+  clock_ = keyed::ageing_clock(unix_now, std::chrono::nanoseconds(found.tables->latest()), net::steady_now());
+  salt_ = found.tables->salt();
+  if (found.moved > 0) log("writes", "%s: %zu rows made of an older program's marks", w.folder.c_str(), found.moved);
+  for (const found_outcome& o : found.over) {
+    last_number_ = std::max(last_number_, o.what.number);
+    outcomes_.begin(o.what.key, o.what.number);
+    outcomes_.committed(o.what.key, o.what.number, o.expiry);
+  }
   outcomes_.age(now());
-  committer_ = std::make_unique<store::committer>(
-      std::move(marks), store::committer_options{},
+  for (const found_write& f : found.open) recover(f.what, f.last);
+  service_ = std::make_shared<store::table_service>(
+      fs_, w.folder, std::move(found.tables), store::table_service_options{},
       [clock = clock_] { return clock.at(std::chrono::steady_clock::now().time_since_epoch()); }, notify_);
-  std::vector<store::committer::done> none;
-  disk_ = committer_->collect(none);
+  std::vector<store::table_service::done> none;
+  disk_ = service_->collect(none);
   log("writes", "%s: %zu open, %zu outcomes known", w.folder.c_str(), open_.size(), outcomes_.size());
   for (const auto& [id, open] : open_) {
-    open->room = room_of(open->payload.size());
+    open->room = room_of_write(open->payload.size(), config_.bounds.write_buffer);
     reserved_ += open->room;
     bind_routes(*open, true);
     waiting_ += open->waits = true;
-    // Not known here how long its marks still stand: they are renewed at the first look.
-    open->renew_at = open->again_at = open->begun;
+    open->again_at = open->begun;
     schedule(*open);
   }
 }
@@ -206,6 +143,7 @@
     if (dynamic_cast<const store::damaged*>(&e) != nullptr) next_try_ = time_point::max();
     open_.clear();
     outcomes_ = outcomes(config_.writes->outcomes);
+    service_ = nullptr;
     log("handover", "%s cannot be taken over: %s", config_.writes->folder.c_str(), e.what());
   }
 }
@@ -225,12 +163,6 @@
   return key += what.key;
 }
 
-// Under a salt of this process's own: the keys themselves stand on disk.
-outcomes::key writer::hash_of(const std::string& key) const {
-  const keyed::key_id h = keyed::hash_of({}, {}, key, random_);
-  return {h.low, h.high};
-}
-
 const write_plan* writer::plan_of(const request& what) const {
   for (const write_plan& p : config_.writes->plans)
     if (p.request_class == what.request_class) return &p;
@@ -249,7 +181,7 @@
     kinds.push_back(config_.dependencies->endpoints[p].one_phase ? part_kind::one_phase : part_kind::two_phase);
   auto w = std::make_shared<write>(std::move(kinds), *plan);
   w->id = id;
-  std::from_chars(id.data() + id_size / 2, id.data() + id_size, w->number, 16);
+  w->number = number_of(id);
   last_number_ = std::max(last_number_, w->number);
   w->request_class = request_class;
   w->payload = std::move(payload);
@@ -257,7 +189,6 @@
   w->begun = net::steady_now();
   w->pause = config_.writes->retry;
   w->again_at = w->begun + w->pause;
-  w->renew_at = w->begun + keep_ / 2;
   for (const std::size_t p : plan->participants) w->at.push_back(config_.dependencies->endpoints[p].at.front());
   return w;
 }
@@ -300,63 +231,39 @@
   }
 }
 
-// A record with a class begins a write, or says all of it anew; one without carries it on. The marks of a write have an
-// order, in which the last one counts: what was renewed while another mark was on its way must not take that back.
-void writer::recover(std::uint32_t type, std::string_view body, const store::position& position) {
-  const auto m = decode(type, body);
-  if (!m) return;
-  latest_expiry_ = std::max(latest_expiry_, m->expiry);
-  const auto known = open_.find(m->id);
-  if (known == open_.end()) {
-    if (m->request_class.empty()) return;
-    std::size_t i = 0;
-    while (i < config_.settings.classes.size() && config_.settings.classes[i].name != m->request_class) ++i;
-    auto w = i < config_.settings.classes.size() ? make(m->id, i, m->payload, m->key) : nullptr;
-    if (!w) {
-      log("writes", "a write of %s is open and has no plan any more: it is left as it is", m->request_class.c_str());
-      return;
-    }
-    w->on_disk = m->what;
-    std::istringstream at(m->endpoints);
-    std::string address;
-    for (std::size_t p = 0; p < w->at.size() && at >> address; ++p) {
-      const std::size_t colon = address.rfind(':');
-      w->at[p] = {address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
-      const auto& configured = config_.dependencies->endpoints[w->plan->participants[p]].at;
-      w->route[p] = static_cast<std::size_t>(std::find(configured.begin(), configured.end(), w->at[p]) - configured.begin());
-    }
-    w->committed = w->on_disk == log_mark::decided;
-    outcomes_.begin(hash_of(w->key), w->number);
-    open_[m->id] = std::move(w);
+void writer::recover(const begun_write& b, log_mark last) {
+  std::size_t i = 0;
+  while (i < config_.settings.classes.size() && config_.settings.classes[i].name != b.request_class) ++i;
+  auto w = i < config_.settings.classes.size() ? make(b.id, i, b.payload, b.key) : nullptr;
+  if (!w) {
+    log("writes", "a write of %s is open and has no plan any more: it is left as it is", b.request_class.c_str());
     return;
   }
-  write& w = *known->second;
-  w.on_disk = std::max(w.on_disk, m->what);
-  w.committed = w.on_disk == log_mark::decided;
-  if (m->what != log_mark::over) return;
-  if (m->committed) {
-    outcomes_.committed(hash_of(w.key), w.number, position, m->expiry);
-  } else {
-    outcomes_.undone(hash_of(w.key), w.number);
+  w->on_disk = last;
+  w->committed = last == log_mark::decided;
+  std::istringstream at(b.endpoints);
+  std::string address;
+  for (std::size_t p = 0; p < w->at.size() && at >> address; ++p) {
+    const std::size_t colon = address.rfind(':');
+    w->at[p] = {address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    const auto& configured = config_.dependencies->endpoints[w->plan->participants[p]].at;
+    w->route[p] = static_cast<std::size_t>(std::find(configured.begin(), configured.end(), w->at[p]) - configured.begin());
   }
-  open_.erase(known);
+  outcomes_.begin(hash_of(w->key), w->number);
+  open_[b.id] = std::move(w);
 }
 
 // ---- backend ----------------------------------------------------------------------------------------------
 
-// Bytes on disk that a write may take: its marks, some of them twice, and its result.
-std::uint64_t writer::room_of(std::size_t payload) const {
-  constexpr std::uint64_t marks = 8, names = 1024;
-  return marks * store::room_for(payload + names) + store::room_for(config_.bounds.write_buffer);
-}
-
 // Why a write cannot begin now, as the time after which it is worth coming back.
 std::optional<duration> writer::no_room(const write_plan& plan, const request& what) {
   constexpr duration soon = std::chrono::seconds(1);
-  if (!committer_ || !disk_.writable) return config_.keyed->retry_disk;
-  const auto until = [&](std::int64_t when) { return std::max<duration>(soon, duration(when - now())); };
-  if (disk_.room < reserved_ + room_of(what.payload.size())) return until(disk_.next_ageing);
-  if (!outcomes_.room()) return until(outcomes_.next_ageing());
+  if (!disk_ || !disk_->writable) return config_.keyed->retry_disk;
+  const auto aged = [&] { return std::max<duration>(soon, duration(outcomes_.next_ageing() - now())); };
+  const std::uint64_t needed = reserved_ + room_of_write(what.payload.size(), config_.bounds.write_buffer);
+  if (const store::verdict v = disk_->rules.of(disk_->disk, needed, static_cast<std::int64_t>(needed)); !v.may)
+    return v.come_back ? std::max<duration>(soon, *v.come_back) : aged();
+  if (!outcomes_.room()) return aged();
   if (!calls_.take(plan.participants)) return config_.writes->retry;
   return std::nullopt;
 }
@@ -373,7 +280,7 @@
     dispatcher_.on_turned_away(id, *come_back);
     return;
   }
-  char name[id_size + 1];
+  char name[write_id_size + 1];
   std::snprintf(name, sizeof name, "%016llx%016llx", static_cast<unsigned long long>(random_),
                 static_cast<unsigned long long>(std::max(last_number_, static_cast<std::uint64_t>(now())) + 1));
   const auto w = make(name, what.request_class, what.payload, key_of(what));
@@ -381,7 +288,7 @@
   choose_endpoints(*w);
   const auto& c = config_.settings.classes[what.request_class];
   w->decide_by = what.arrived + (c.aim.count() > 0 ? c.aim : c.deadline) - w->plan->reserve;
-  w->room = room_of(what.payload.size());
+  w->room = room_of_write(what.payload.size(), config_.bounds.write_buffer);
   reserved_ += w->room;
   share_changed(*w);
   runs_[id] = w->id;
@@ -412,18 +319,20 @@
 bool writer::inquire(request_id id, const request& what) {
   if (plan_of(what) == nullptr) return behind_.inquire(id, what);
   reactor_.wake();
-  if (!committer_) {  // what another process has in the folder is not known here
+  if (!service_) {  // what another process has in the folder is not known here
     dispatcher_.on_inquired(id, inquiry_end::unknown, {});
     return true;
   }
-  const outcomes::known o = outcomes_.of(hash_of(key_of(what)));
+  const std::string key = key_of(what);
+  const outcomes::key hash = hash_of(key);
+  const outcomes::known o = outcomes_.of(hash);
   switch (o.how) {
     // Nothing of it was ever on disk, so nobody was asked; or it was undone.
     case outcomes::standing::unknown: dispatcher_.on_inquired(id, inquiry_end::never_ran, {}); break;
     case outcomes::standing::under_way: dispatcher_.on_inquired(id, inquiry_end::unknown, {}); break;
     case outcomes::standing::committed:
-      if (committer_->read(++last_ticket_, o.at)) {
-        reads_[last_ticket_] = id;
+      if (service_->get(++last_ticket_, outcome_table, outcome_key({o.which, hash}))) {
+        reads_[last_ticket_] = {id, key};
       } else {
         dispatcher_.on_inquired(id, inquiry_end::unknown, {});
       }
@@ -452,7 +361,10 @@
 
 std::string writer::figures() const {
   return "writes.open=" + std::to_string(open_.size()) + "\nwrites.outcomes=" + std::to_string(outcomes_.size()) +
-         "\nwrites.turned_away=" + std::to_string(turned_away_) + "\nwrites.holds_folder=" + (committer_ ? "1" : "0") + "\n";
+         "\nwrites.turned_away=" + std::to_string(turned_away_) + "\nwrites.holds_folder=" + (service_ ? "1" : "0") + "\n" +
+         (disk_ ? "writes.disk_used=" + std::to_string(disk_->disk.used) + "\nwrites.disk_live=" + std::to_string(disk_->disk.live) +
+                      "\nwrites.disk_writable=" + (disk_->writable ? "1" : "0") + "\n"
+                : std::string());
 }
 
 // ---- Steps and marks --------------------------------------------------------------------------------------
@@ -480,33 +392,32 @@
   if (w->machine.where() == transaction::stage::over) finish(w);
 }
 
-// Marks of all writes age in the order in which they were written, so that none goes before one that it takes back. Those
-// of a write that is still open are renewed before that.
-void writer::mark(const std::shared_ptr<write>& w, log_mark m, bool renewed) {
-  latest_expiry_ = std::max(latest_expiry_, now() + keep_.count());
-  mark_record r{w->id, latest_expiry_, m, w->committed, {}, {}, {}, {}};
-  if (m == log_mark::begun || renewed) {
-    r.request_class = config_.settings.classes[w->request_class].name;
-    r.key = w->key;
-    r.payload = w->payload;
-    for (const endpoint& e : w->at) r.endpoints += (r.endpoints.empty() ? "" : " ") + e.host + ":" + std::to_string(e.port);
-  }
-  if (m == log_mark::over) {
-    if (w->committed) r.payload = compose_result(*w);
-    w->result_expiry = r.expiry;
+void writer::mark(const std::shared_ptr<write>& w, log_mark m) {
+  store::batch b;
+  if (m == log_mark::begun) {
+    begun_write begun{w->id, config_.settings.classes[w->request_class].name, w->key, w->payload, {}};
+    for (const endpoint& e : w->at)
+      begun.endpoints += (begun.endpoints.empty() ? "" : " ") + e.host + ":" + std::to_string(e.port);
+    b = batch_of_begun(begun);
+  } else if (m != log_mark::over) {
+    b = batch_of_mark(w->id, m);
+  } else if (w->committed) {
+    b = batch_of_over(w->id, std::pair(outcome_id{w->number, hash_of(w->key)}, ended_write{w->key, compose_result(*w)}));
+  } else {
+    b = batch_of_over(w->id, std::nullopt);
   }
-  w->marking += renewed ? 0 : 1;
-  marks_[++last_ticket_] = {w->id, m, renewed};
-  unsent_.emplace_back(last_ticket_, store::entry{{record_type, encode(r)}, r.expiry});
+  marks_[++last_ticket_] = {w->id, m};
+  unsent_.emplace_back(last_ticket_, std::move(b));
   send_unsent();
 }
 
 // In their order: where the queue is full, they wait for the next step.
 void writer::send_unsent() {
-  while (!unsent_.empty() && committer_->write(unsent_.front().first, unsent_.front().second)) unsent_.pop_front();
+  while (!unsent_.empty() && service_->commit(unsent_.front().first, unsent_.front().second, store::durability::now))
+    unsent_.pop_front();
 }
 
-void writer::on_marked(std::uint64_t ticket, bool durable, const store::position& position) {
+void writer::on_marked(std::uint64_t ticket, bool durable) {
   const auto at = marks_.find(ticket);
   if (at == marks_.end()) return;
   const marking m = at->second;
@@ -515,16 +426,17 @@
   if (found == open_.end()) return;
   const auto w = found->second;
   if (durable) w->on_disk = std::max(w->on_disk, m.what);
-  if (m.renewed) {
-    if (durable) w->renew_at = net::steady_now() + keep_ / 2;
-    return;
-  }
-  --w->marking;
-  if (m.what == log_mark::over) w->result_at = position;
   w->machine.on_logged(m.what, durable);
   advance(w);
 }
 
+void writer::on_read(const reading& r, const store::table_service::done& d) {
+  const auto e = d.value ? read_ended(*d.value) : std::nullopt;
+  const bool ours = e && e->key == r.key;
+  if (!ours) log("writes", "a result cannot be read: %s", !d.fault.empty() ? d.fault.c_str() : e ? "it is another one's" : "it is not there");
+  dispatcher_.on_inquired(r.id, ours ? inquiry_end::result : inquiry_end::unknown, ours ? e->result : std::string());
+}
+
 void writer::take(const std::shared_ptr<write>& w, const take_step& s) {
   const dependency_config& d = config_.dependencies->endpoints[w->plan->participants[s.participant]];
   std::string bytes;
@@ -586,7 +498,7 @@
 void writer::finish(const std::shared_ptr<write>& w) {
   const outcomes::key key = hash_of(w->key);
   if (w->committed && w->on_disk == log_mark::over) {
-    outcomes_.committed(key, w->number, w->result_at, w->result_expiry);
+    outcomes_.committed(key, w->number, now() + keep_.count());
   } else {
     outcomes_.undone(key, w->number);
   }
@@ -602,7 +514,7 @@
 
 void writer::schedule(write& w) {
   due_.erase({w.due, w.id});
-  w.due = std::min({w.decide_by, w.again_at, w.renew_at});
+  w.due = std::min(w.decide_by, w.again_at);
   due_.emplace(w.due, w.id);
 }
 
@@ -635,34 +547,28 @@
     }
     w->machine.again();
   }
-  if (steady >= w->renew_at) {
-    w->renew_at = steady + config_.writes->longest_retry;  // unless it gets on disk
-    // Not behind a mark that is on its way: behind the last one it would begin the write again.
-    if (w->on_disk != log_mark{} && w->marking == 0) mark(w, w->on_disk, true);
-  }
   schedule(*w);
   advance(w);
 }
 
 time_point writer::step(time_point steady) {
-  if (!committer_) {
+  if (!service_) {
     if (steady >= next_try_) take_folder_over(steady);
-    if (!committer_) return next_try_;
+    if (!service_) return next_try_;
   }
-  std::vector<store::committer::done> done;
-  disk_ = committer_->collect(done);
+  std::vector<store::table_service::done> done;
+  const bool was_writable = disk_->writable;
+  disk_ = service_->collect(done);
+  if (was_writable != disk_->writable)
+    log("writes", "%s", disk_->writable ? "the disk takes writes again" : disk_->fault.c_str());
   for (const auto& d : done) {
-    if (d.what == store::committer::kind::write) {
-      on_marked(d.ticket, d.ok, d.at);
-      continue;
+    if (d.what == store::table_service::kind::commit) {
+      on_marked(d.ticket, d.fault.empty() && d.v.may);
+    } else if (const auto read = reads_.find(d.ticket); read != reads_.end()) {
+      const reading r = std::move(read->second);
+      reads_.erase(read);
+      on_read(r, d);
     }
-    const auto read = reads_.find(d.ticket);
-    if (read == reads_.end()) continue;
-    const request_id id = read->second;
-    reads_.erase(read);
-    const auto m = d.ok ? decode(record_type, d.body) : std::nullopt;
-    if (!m) log("writes", "a result cannot be read: %s", d.ok ? "it is no mark" : d.body.c_str());
-    dispatcher_.on_inquired(id, m ? inquiry_end::result : inquiry_end::unknown, m ? m->payload : std::string());
   }
   send_unsent();
   while (!due_.empty() && due_.begin()->first <= steady) {
--- a/src/dependencies/writer.hpp
+++ b/src/dependencies/writer.hpp
@@ -1,5 +1,5 @@
 // Runs writes of classes with several participants: whole at all or at none, across restarts. `transaction` decides; this
-// takes its steps over uwsgi and has its marks on disk in a folder of its own. Writes have keys (src/keyed): a key's run is
+// takes its steps over uwsgi and has its marks on disk, as rows of tables, in a folder of its own (docs/store.md). Writes have keys (src/keyed): a key's run is
 // one transaction, and after a crash its outcome is found by the key.
 //
 // Two processes never have the folder at once: one that finds it held (a replacement) turns writes away with a time to
@@ -25,18 +25,19 @@
 #include "dependencies/gatherer.hpp"
 #include "dependencies/outcomes.hpp"
 #include "dependencies/transaction.hpp"
+#include "dependencies/write_records.hpp"
 #include "keyed/clock.hpp"
 #include "net/reactor.hpp"
-#include "store/committer.hpp"
+#include "store/table_service.hpp"
 #include "uwsgi/exchange.hpp"
 
 namespace marblewharf::dependencies {
 
 class writer : public backend {
  public:
-  // Reads the folder and goes on with what is open in it, unless another process holds it. `notify`: step() has something
-  // to do, from another thread. Throws store::io_error or store::damaged.
-  writer(net::reactor& r, const config& settings, dispatcher& d, gatherer& behind, store::file_system& fs,
+  // Reads the folder and goes on with what is open in it, unless another process holds it; what an older program left in it
+  // is moved up first. `notify`: step() has something to do, from another thread. Throws store::io_error or store::damaged.
+  writer(net::reactor& r, const config& settings, dispatcher& d, gatherer& behind, std::shared_ptr<store::file_system> fs,
          std::uint64_t random, std::function<void()> notify);
   ~writer() override;
 
@@ -57,32 +58,39 @@
   gatherer::calls calls_at(std::size_t dependency) const;
   // Lines of `writes.NAME=VALUE` for show-stat.
   std::string figures() const;
+  // For whoever does its background work; none: another process has the folder.
+  std::shared_ptr<store::table_service> tables() const { return service_; }
 
  private:
   using write_id = std::string;  // 32 hexadecimal digits
   struct write;
+  struct reading {
+    request_id id = 0;
+    std::string key;
+  };
 
   void open_folder();
   void take_folder_over(time_point now);
   std::string key_of(const request& what) const;
-  outcomes::key hash_of(const std::string& key) const;
+  outcomes::key hash_of(const std::string& key) const { return hash_of_key(key, salt_); }
   const write_plan* plan_of(const request& what) const;
   std::optional<duration> no_room(const write_plan& plan, const request& what);
   std::uint64_t room_of(std::size_t payload) const;
   void share_changed(const write& w);
   void schedule(write& w);
   void look_at(const std::shared_ptr<write>& w, time_point now);
-  void on_marked(std::uint64_t ticket, bool durable, const store::position& at);
+  void on_marked(std::uint64_t ticket, bool durable);
+  void on_read(const reading& r, const store::table_service::done& d);
   void send_unsent();
   std::shared_ptr<write> make(const write_id& id, std::size_t request_class, std::string payload, std::string key);
   void choose_endpoints(write& w);
   void bind_routes(const write& w, bool bound);
   endpoints* route_of(const write& w, std::size_t participant);
   void step_ended(const write& w, std::size_t participant, bool told, bool well);
-  void recover(std::uint32_t type, std::string_view body, const store::position& at);
+  void recover(const begun_write& b, log_mark last);
   void advance(const std::shared_ptr<write>& w);
   void take(const std::shared_ptr<write>& w, const take_step& s);
-  void mark(const std::shared_ptr<write>& w, log_mark m, bool renewed = false);
+  void mark(const std::shared_ptr<write>& w, log_mark m);
   void on_exchanged(const write_id& id, std::size_t participant, step_kind what, uwsgi::exchange_end how,
                     const uwsgi::response_head* head, std::string_view response);
   void finish(const std::shared_ptr<write>& w);
@@ -93,11 +101,12 @@
   const config& config_;
   dispatcher& dispatcher_;
   gatherer& behind_;
-  store::file_system& fs_;
+  const std::shared_ptr<store::file_system> fs_;
   const std::function<void()> notify_;
-  const duration keep_;  // marks on disk, and outcomes: the longest window of any class
+  const duration keep_;  // outcomes: the longest window of any class
   keyed::ageing_clock clock_;
   std::uint64_t random_;
+  std::uint64_t salt_ = 0;  // the folder's
   std::mt19937_64 draws_;
   std::vector<endpoints> routes_;  // by dependency: which endpoint a new write takes, where places are known
   call_book calls_;
@@ -109,20 +118,18 @@
   struct marking {
     write_id id;
     log_mark what{};
-    bool renewed = false;  // says again what is on disk already
   };
   std::map<std::uint64_t, marking> marks_;                     // on their way to disk, by ticket
-  std::deque<std::pair<std::uint64_t, store::entry>> unsent_;  // that the committer's queue had no room for
-  std::unordered_map<std::uint64_t, request_id> reads_;        // of results, by ticket
+  std::deque<std::pair<std::uint64_t, store::batch>> unsent_;  // that the service's queue had no room for
+  std::unordered_map<std::uint64_t, reading> reads_;           // of results, by ticket
   std::uint64_t last_ticket_ = 0;
-  store::committer::condition disk_;
-  std::uint64_t reserved_ = 0;  // bytes that open writes may still need
-  std::int64_t latest_expiry_ = 0;  // of all marks
+  std::optional<store::table_service::condition> disk_;        // of the last step; none: another process has the folder
+  std::uint64_t reserved_ = 0;      // bytes that open writes may still need
   std::size_t waiting_ = 0;         // writes found on disk that wait for room to go on
   std::uint64_t turned_away_ = 0;
   time_point next_try_ = time_point::max();  // to take the folder over
   time_point next_ageing_{};
-  std::unique_ptr<store::committer> committer_;  // last: its thread goes first
+  std::shared_ptr<store::table_service> service_;  // last: its thread goes first
 };
 
 }  // namespace marblewharf::dependencies
--- a/src/node/background.cpp
+++ b/src/node/background.cpp
@@ -24,12 +24,13 @@
 }  // namespace
 
 bool background::wanted(const config& settings) {
-  return (settings.keyed && settings.keyed->scrub.count() > 0) || (settings.writes && settings.writes->scrub.count() > 0);
+  return (settings.keyed && settings.keyed->scrub.count() > 0) || settings.writes;
 }
 
 background::background(const config& settings, telemetry::counters& counters, std::function<void()> notify,
                        time_point now)
     : counters_(counters),
+      deadline_(settings.background.deadline),
       room_({settings.background.quiet, settings.background.busy, settings.background.calm}),
       pool_(options_of(settings.background),
             [this, notify = std::move(notify)] {
@@ -61,6 +62,28 @@
             now + std::min<duration>(every, std::chrono::seconds(10)));
 }
 
+// Cleaning goes on under load too, at the urgent share: a store that is never cleaned turns its writers away in the end.
+void background::look_after(const std::string& what, std::weak_ptr<store::table_service> tables, time_point now) {
+  using work = store::table_service::work;
+  using namespace std::chrono_literals;
+  const auto add = [&](const char* name, work w, duration every, duration deadline, int priority) {
+    pool_.add({.name = name + ("-" + what), .priority = priority, .every = every, .deadline = deadline, .after = {}, .budget = {}},
+              [tables, w](const std::atomic<bool>&) -> scheduler::slice_result {
+                const auto t = tables.lock();
+                if (t == nullptr) return {};
+                const store::table_service::slice s = t->step(w);
+                const auto how = !s.fault.empty() ? scheduler::slice_end::failed
+                                 : s.more         ? scheduler::slice_end::more
+                                                  : scheduler::slice_end::done;
+                return {how, s.read, s.written, s.fault};
+              },
+              now + every);
+  };
+  add("clean", work::clean, 500ms, 1s, 0);
+  add("age", work::age, 1s, 10s, 1);
+  add("checkpoint", work::checkpoint, 60s, deadline_, 1);
+}
+
 time_point background::step(time_point now, std::optional<double> cores_busy, std::size_t waiting) {
   ended_ = false;
   room_now_ = room_.look(now, cores_busy, waiting);
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -214,13 +214,13 @@
   reactor.listen_in(tap);
   dispatcher desk(settings.settings, settings.seed, net::steady_now(), counters);
   std::optional<net::waker> waker;
-  store::posix_file_system disk;
+  const auto disk = std::make_shared<store::posix_file_system>();
   std::unique_ptr<keyed::keeper> keeper;
   std::optional<keyed::awaited_book> keys;
   time_point next_lock_try = time_point::max();
   // Reads the folder as after a restart: what the process before kept is known from now on.
   const auto open_keeper = [&] {
-    keeper = std::make_unique<keyed::keeper>(disk, keeper_options_of(settings), counters, [&] { waker->wake(); });
+    keeper = std::make_unique<keyed::keeper>(*disk, keeper_options_of(settings), counters, [&] { waker->wake(); });
     keeper->report_to(desk);
     keys->take(*keeper);
   };
@@ -282,6 +282,7 @@
   time_point leave_at = time_point::max();
   handover_file handover(settings);
   std::uint64_t routed_by = ~std::uint64_t{0};  // the fleet's changes that the routes of calls follow already
+  bool writes_looked_after = false;  // the folder's tables are, by background work
   bool handed_over = false;  // a successor takes the clients: leave at once
   telemetry::log("start", "%s listens on %s:%u", settings.name.c_str(), settings.listen.host.c_str(),
                  static_cast<unsigned>(settings.listen.port));
@@ -338,6 +339,10 @@
       if (gatherer) gatherer->routes_changed(routable);
       if (writer) writer->routes_changed(routable);
     }
+    if (jobs && writer && !writes_looked_after && writer->tables() != nullptr) {
+      writes_looked_after = true;
+      jobs->look_after("writes", writer->tables(), now);
+    }
     const time_point shared_due = shared ? shared->step(now) : time_point::max();
     desk.step(now, gauges);
     if (jobs && !jobs->idle(now))
--- a/src/store/cleaning.cpp
+++ b/src/store/cleaning.cpp
@@ -6,7 +6,6 @@
 namespace marblewharf::store {
 namespace {
 
-constexpr std::uint64_t least_segments = 12;
 // Below this, cleaning would turn the same few segments over and over.
 constexpr std::uint64_t floor_segments = 3;
 // Left free while cleaning has nothing to do: the reserve and a batch, where every segment loses a quarter at its end.
--- a/src/store/cleaning.hpp
+++ b/src/store/cleaning.hpp
@@ -12,6 +12,8 @@
 
 namespace marblewharf::store {
 
+constexpr std::uint64_t least_segments = 12;  // that the space must hold
+
 struct cleaning_rules {
   std::uint64_t segment = std::uint64_t{8} << 20;  // bytes
   // Bytes of all segments together. A checkpoint stands beside them: some 80 bytes and the key for each key, twice while one
--- a/src/store/log.cpp
+++ b/src/store/log.cpp
@@ -44,7 +44,8 @@
 
 // Two passes over the headers and one over the data: what counts of a segment is said by the one behind it.
 found_folder read_folder(file_system& fs, const std::string& folder, const log::ageing& expiry_of,
-                         const log::visitor& each, const std::optional<position>& from = std::nullopt) {
+                         const log::visitor& each, std::uint32_t known,
+                         const std::optional<position>& from = std::nullopt) {
   found_folder found;
   std::vector<std::uint64_t> numbers, aside;
   for (const std::string& name : fs.list(folder)) {
@@ -60,7 +61,7 @@
   const auto path_of = [&](std::uint64_t n) { return folder + "/" + name_of(n) + std::string(suffix); };
   std::map<std::uint64_t, segment_header> headers;
   for (const std::uint64_t n : numbers) {
-    const segment_header h = decode_header(fs.read(path_of(n), 0, header_size), path_of(n));
+    const segment_header h = decode_header(fs.read(path_of(n), 0, header_size), path_of(n), known);
     if (h.number != n) throw damaged(path_of(n) + " at byte 0: this is segment " + std::to_string(h.number));
     if (!headers.empty() && headers.begin()->second.salt != h.salt)
       throw damaged(path_of(n) + " at byte 0: a segment of another folder");
@@ -116,7 +117,7 @@
   fs_.make_folder(options_.folder);
   lock_ = fs_.lock(options_.folder + "/lock");
   const found_folder found =
-      read_folder(fs_, options_.folder, expiry_of, each, options_.from ? options_.from() : std::nullopt);
+      read_folder(fs_, options_.folder, expiry_of, each, options_.format, options_.from ? options_.from() : std::nullopt);
   counts_ = found.counts;
   number_ = found.highest;
   for (const found_segment& s : found.segments) {
@@ -133,9 +134,9 @@
 log::~log() = default;
 
 recovered_counts log::inspect(file_system& fs, const std::string& folder, const ageing& expiry_of,
-                              const visitor& each) {
+                              const visitor& each, std::uint32_t known) {
   const auto held = fs.lock(folder + "/lock");
-  return read_folder(fs, folder, expiry_of, each).counts;
+  return read_folder(fs, folder, expiry_of, each, known).counts;
 }
 
 std::string log::file_name(std::uint64_t segment) {
@@ -168,6 +169,7 @@
 // The one before is whole on disk up to end_; the new header says so.
 void log::activate(std::int64_t now) {
   segment_header h;
+  h.version = options_.format;
   h.number = number_ + 1;
   h.created = now;
   h.salt = options_.salt;
--- a/src/store/log.hpp
+++ b/src/store/log.hpp
@@ -32,6 +32,7 @@
   // Asked once the folder is held: records before this place are known already, and segments before it are not read. None:
   // all are.
   std::function<std::optional<position>()> from = {};
+  std::uint32_t format = format::records;  // of new segments; those of a later one are refused
 };
 
 struct entry {
@@ -62,7 +63,7 @@
 
   // Reads a folder that no process holds, and changes nothing in it.
   static recovered_counts inspect(file_system& fs, const std::string& folder, const ageing& expiry_of,
-                                  const visitor& each);
+                                  const visitor& each, std::uint32_t known = format::records);
 
   static std::string file_name(std::uint64_t segment);
   // Of what stands in for a segment that has gone, as long as the one behind it is there.
--- a/src/store/segment.cpp
+++ b/src/store/segment.cpp
@@ -48,15 +48,15 @@
   return out;
 }
 
-segment_header decode_header(std::string_view bytes, const std::string& file) {
+segment_header decode_header(std::string_view bytes, const std::string& file, std::uint32_t known) {
   constexpr std::size_t sum_at = 64;
   if (bytes.size() < header_size || !bytes.starts_with(segment_magic))
     throw damaged(file + " at byte 0: no segment of results");
   segment_header h;
   h.version = get<std::uint32_t>(bytes, 8);
-  if (h.version != format_version)
+  if (h.version == 0 || h.version > known)
     throw damaged(file + ": format version " + std::to_string(h.version) + ", this program knows " +
-                  std::to_string(format_version));
+                  std::to_string(known) + " here");
   if (get<std::uint64_t>(bytes, sum_at) != checksum(bytes.substr(0, sum_at), 0))
     throw damaged(file + " at byte 0: a damaged header");
   h.number = get<std::uint64_t>(bytes, 16);
--- a/src/store/segment.hpp
+++ b/src/store/segment.hpp
@@ -16,7 +16,12 @@
 
 namespace marblewharf::store {
 
-constexpr std::uint32_t format_version = 1;
+// What segments of this version hold. A program that knows a version reads the ones before it.
+namespace format {
+constexpr std::uint32_t records = 1;  // records of the folder's owner, which age
+constexpr std::uint32_t tables = 2;   // rows of tables; in an older segment of the same folder what they were before
+constexpr std::uint32_t newest = tables;
+}  // namespace format
 constexpr std::size_t header_size = 80;
 constexpr std::size_t frame_head = 32;
 constexpr std::size_t record_head = 16;
@@ -27,7 +32,7 @@
 };
 
 struct segment_header {
-  std::uint32_t version = format_version;
+  std::uint32_t version = format::records;
   std::uint64_t number = 0;
   std::int64_t created = 0;           // ns, in the time of the store's owner
   std::uint64_t previous = 0;         // number; 0 = none
@@ -46,8 +51,8 @@
 constexpr std::uint64_t room_for(std::uint64_t body) { return frame_head + record_head + padded(body); }
 
 std::string encode_header(const segment_header& h);
-// Throws damaged, also for a version that it does not know; `file` names it in the text.
-segment_header decode_header(std::string_view bytes, const std::string& file);
+// Throws damaged, also for a version above `known`; `file` names it in the text.
+segment_header decode_header(std::string_view bytes, const std::string& file, std::uint32_t known = format::newest);
 
 // One frame; `offsets` gets where each record stands in it.
 std::string encode_frame(std::uint64_t segment, std::uint64_t sequence, std::span<const record> records,
--- a/src/store/store_command.cpp
+++ b/src/store/store_command.cpp
@@ -32,6 +32,7 @@
 void print(const inspected& i) {
   std::printf("segments=%" PRIu64 " commits=%" PRIu64 " records=%" PRIu64 " torn_bytes=%" PRIu64 "\n", i.log.segments,
               i.log.frames, i.log.records, i.log.torn_bytes);
+  if (i.older > 0) std::printf("older_records=%" PRIu64 "\n", i.older);
   for (const auto& [table, keys] : i.keys) std::printf("table=%s keys=%zu\n", printable(table).c_str(), keys);
   if (!i.checkpoint) {
     std::printf("checkpoint=none\n");
--- a/src/store/table_service.cpp
+++ b/src/store/table_service.cpp
@@ -10,10 +10,11 @@
 
 }  // namespace
 
-table_service::table_service(file_system& fs, std::string folder, std::unique_ptr<tables> t, table_service_options o,
-                             std::function<std::int64_t()> now, std::function<void()> notify)
-    : fs_(fs), folder_(std::move(folder)), options_(o), now_(std::move(now)), notify_(std::move(notify)), tables_(std::move(t)),
-      queue_(o.queue) {
+table_service::table_service(std::shared_ptr<file_system> fs, std::string folder, std::unique_ptr<tables> t,
+                             table_service_options o, std::function<std::int64_t()> now, std::function<void()> notify)
+    : fs_(std::move(fs)), folder_(std::move(folder)), options_(o), now_(std::move(now)), notify_(std::move(notify)), tables_(std::move(t)),
+      queue_(o.queue), condition_{false, {}, {}, tables_->rules()} {
+  look_after(false);
   thread_ = std::thread([this] { serve(); });
 }
 
@@ -36,28 +37,39 @@
   return queue_.push({ticket, kind::get, {}, durability::now, std::move(table), std::move(key)});
 }
 
-void table_service::collect(std::vector<done>& out) {
+table_service::condition table_service::collect(std::vector<done>& out) {
   const std::lock_guard lock(guard_);
   out = std::exchange(done_, {});
+  return condition_;
+}
+
+// Under the tables' guard: what is said of them is what they are.
+void table_service::report(std::vector<done> out) {
+  condition c{tables_->writable(), tables_->writable() ? std::string() : fault_, tables_->show().disk, tables_->rules()};
+  const std::lock_guard lock(guard_);
+  condition_ = std::move(c);
+  done_.insert(done_.end(), std::make_move_iterator(out.begin()), std::make_move_iterator(out.end()));
 }
 
 // A closed segment does not change, and nobody but the caller of slices takes it away.
-void table_service::read_ahead() {
+std::uint64_t table_service::read_ahead() {
   tables::wanted_segment next;
   {
     const auto lock = hold();
     next = tables_->oldest_wanted();
   }
-  if (next.number == 0) return;
-  tables::read_ahead r = tables::read_segment(fs_, folder_, next);
+  if (next.number == 0) return 0;
+  tables::read_ahead r = tables::read_segment(*fs_, folder_, next);
+  const std::uint64_t bytes = r.bytes.size();
   const auto lock = hold();
   tables_->take(std::move(r), now_());
+  return bytes;
 }
 
 table_service::slice table_service::step(work what) {
   slice s;
   try {
-    if (what == work::clean) read_ahead();
+    if (what == work::clean) s.read = read_ahead();
   } catch (const std::runtime_error& e) {
     s.fault = e.what();
     return s;
@@ -74,6 +86,7 @@
     s.fault = e.what();
   }
   s.written = tables_->show().copied - before;
+  report({});
   return s;
 }
 
@@ -82,36 +95,49 @@
   return tables_->show();
 }
 
-void table_service::flush_if_due(bool always) {
+// What waits in memory goes to disk in its time, and a disk that failed is tried again, also where nobody asks for anything:
+// whoever knows that it cannot be written to does not.
+void table_service::look_after(bool leaving) {
   const auto lock = hold();
+  const std::int64_t now = now_();
   const auto due = tables_->flush_due();
-  if (!due || (!always && *due > now_())) return;
   try {
-    tables_->flush(now_());
-  } catch (const io_error&) {  // it still waits
+    tables_->mend(now);
+    if (due && (leaving || *due <= now)) tables_->flush(now);
+  } catch (const io_error& e) {  // what waits still waits
+    fault_ = e.what();
   }
+  report({});
 }
 
 void table_service::serve() {
   std::vector<task> all;
   const auto fits = [this](const task&, std::size_t taken) { return taken < options_.group; };
+  auto next_look = std::chrono::steady_clock::now() + options_.retry;
   while (queue_.take(all, look_every, fits)) {
     if (!all.empty()) {
-      std::vector<done> out = carry_out(all);
       {
-        const std::lock_guard lock(guard_);
-        done_.insert(done_.end(), std::make_move_iterator(out.begin()), std::make_move_iterator(out.end()));
+        const auto lock = hold();
+        report(carry_out(all));
       }
       notify_();
     }
-    flush_if_due(false);
+    const auto at = std::chrono::steady_clock::now();
+    if (!flush_wanted() && at < next_look) continue;
+    next_look = at + options_.retry;
+    look_after(false);
   }
-  flush_if_due(true);
+  look_after(true);
 }
 
-// In their order: a get behind a commit sees it. Durable commits that stand next to each other go together.
-std::vector<table_service::done> table_service::carry_out(std::vector<task>& all) {
+bool table_service::flush_wanted() const {
   const auto lock = hold();
+  const auto due = tables_->flush_due();
+  return due && *due <= now_();
+}
+
+// Under the tables' guard. In their order: a get behind a commit sees it. Durable commits that stand next to each other go together.
+std::vector<table_service::done> table_service::carry_out(std::vector<task>& all) {
   const std::int64_t now = now_();
   std::vector<done> out;
   for (std::size_t i = 0; i < all.size();) {
@@ -121,7 +147,10 @@
       for (std::size_t k = i; k < all.size() && all[k].what == kind::commit && all[k].how == durability::now; ++k)
         group.push_back(&all[k].writes);
       const std::vector<tables::committed> done_with = tables_->commit_all(group, now);
-      for (const tables::committed& c : done_with) out.push_back({all[i++].ticket, kind::commit, c.v, {}, c.fault});
+      for (const tables::committed& c : done_with) {
+        if (!c.fault.empty()) fault_ = c.fault;
+        out.push_back({all[i++].ticket, kind::commit, c.v, {}, c.fault});
+      }
       continue;
     }
     done d{t.ticket, t.what, {}, {}, {}};
--- a/src/store/table_service.hpp
+++ b/src/store/table_service.hpp
@@ -22,6 +22,7 @@
 struct table_service_options {
   std::size_t queue = 4096;  // requests waiting, at most
   std::size_t group = 256;   // batches in one commit
+  std::chrono::nanoseconds retry = std::chrono::milliseconds(500);  // after a failure, until the disk is tried again
 };
 
 class table_service {
@@ -34,17 +35,24 @@
     std::optional<std::string> value;  // of a get; none: not there
     std::string fault;                 // not empty: in doubt, or not read
   };
+  // As of what collect() gave so far, and of the slices before.
+  struct condition {
+    bool writable = false;
+    std::string fault;  // why not
+    sizes disk;
+    cleaning rules;     // rules.of(disk, ...): whether something may be written
+  };
   enum class work { clean, checkpoint, age };
   struct slice {
     bool more = false;
-    std::uint64_t written = 0;  // bytes of copies
+    std::uint64_t read = 0, written = 0;  // bytes: of the segment to be cleaned, of copies
     std::string fault;          // not empty: tried again later
   };
 
-  // `fs` and `folder`: as the tables have them. `now`: the owner's clock; `notify`: something can be collected. Both from the thread, `now` also from who calls for
-  // slices.
-  table_service(file_system& fs, std::string folder, std::unique_ptr<tables> t, table_service_options o, std::function<std::int64_t()> now,
-                std::function<void()> notify);
+  // `fs` and `folder`: as the tables have them. `now`: the owner's clock; `notify`: something can be collected. Both from the
+  // thread, `now` also from who calls for slices, which may outlive the owner's own end: so `fs` is shared.
+  table_service(std::shared_ptr<file_system> fs, std::string folder, std::unique_ptr<tables> t, table_service_options o,
+                std::function<std::int64_t()> now, std::function<void()> notify);
   // What was asked for is done first, and what waits in memory is written.
   ~table_service();
   table_service(const table_service&) = delete;
@@ -55,7 +63,7 @@
   bool commit(std::uint64_t ticket, batch b, durability how);
   bool get(std::uint64_t ticket, std::string table, std::string key);
   // Moves to `out` what has been done since the last call, in the order it was asked for. From one thread.
-  void collect(std::vector<done>& out);
+  condition collect(std::vector<done>& out);
 
   // One slice, from any one thread at a time.
   slice step(work what);
@@ -72,12 +80,14 @@
 
   std::unique_lock<std::mutex> hold() const;
   void serve();
-  void flush_if_due(bool always);
+  void look_after(bool leaving);
+  bool flush_wanted() const;
+  void report(std::vector<done> out);
   std::vector<done> carry_out(std::vector<task>& all);
 
-  void read_ahead();
+  std::uint64_t read_ahead();
 
-  file_system& fs_;
+  const std::shared_ptr<file_system> fs_;
   const std::string folder_;
   const table_service_options options_;
   const std::function<std::int64_t()> now_;
@@ -91,6 +101,8 @@
   task_queue<task> queue_;
   std::mutex guard_;
   std::vector<done> done_;  // under guard_
+  condition condition_;     // under guard_
+  std::string fault_;       // the last one; under tables_guard_
   std::thread thread_;
 };
 
--- a/src/store/tables.cpp
+++ b/src/store/tables.cpp
@@ -18,6 +18,13 @@
   return record_bytes(row_head + table.size() + key.size() + value);
 }
 
+constexpr std::int64_t rounds_a_life = 16;
+std::int64_t shortest_life(const std::map<std::string, std::chrono::nanoseconds>& life) {
+  std::chrono::nanoseconds least = std::chrono::hours(24);
+  for (const auto& [table, one] : life) least = std::min(least, one);
+  return least.count();
+}
+
 bool aged(std::int64_t expiry, std::int64_t now) { return expiry != 0 && now >= expiry; }
 
 row row_of(std::string_view body, const std::string& where) {
@@ -30,11 +37,13 @@
   return log::file_name(p.segment) + " at byte " + std::to_string(p.offset);
 }
 
+bool of_a_table(std::uint32_t type) {
+  return type == static_cast<std::uint32_t>(table_record::put) || type == static_cast<std::uint32_t>(table_record::erase);
+}
+
 // One record of the log, as a start reads it.
 void replay(versions& to, std::uint32_t type, std::string_view body, const position& at, sequence s) {
   const bool put = type == static_cast<std::uint32_t>(table_record::put);
-  if (!put && type != static_cast<std::uint32_t>(table_record::erase))
-    throw damaged(where_in(at) + ": no record of a table");
   const row r = row_of(body, where_in(at));
   const std::string table(r.table), key(r.key);
   if (put) {
@@ -71,7 +80,7 @@
 
 tables::tables(file_system& fs, tables_options o, std::int64_t now)
     : fs_(fs), options_(std::move(o)), cleaning_(options_.disk) {
-  log_options l{options_.folder, options_.disk.segment, options_.disk.space, options_.salt, {}};
+  log_options l{options_.folder, options_.disk.segment, options_.disk.space, options_.salt, {}, format::tables};
   l.from = [this]() -> std::optional<position> {
     found_ = read_checkpoint(fs_, options_.folder, [this](std::string_view entry) { enter(index_, entry); });
     if (!found_ || !found_->fault.empty()) return std::nullopt;
@@ -79,7 +88,15 @@
   };
   log_ = std::make_unique<log>(
       fs_, std::move(l), [](std::uint32_t, std::string_view) { return never; },
-      [this](std::uint32_t type, std::string_view body, const position& at) { replay(index_, type, body, at, ++last_); });
+      [this](std::uint32_t type, std::string_view body, const position& at) {
+        if (of_a_table(type)) {
+          replay(index_, type, body, at, ++last_);
+        } else if (options_.older) {
+          options_.older(type, body);
+        } else {
+          throw damaged(where_in(at) + ": no record of a table");
+        }
+      });
   if (found_ && found_->fault.empty()) {
     if (found_->salt != log_->salt()) throw damaged(options_.folder + "/checkpoint: of another folder");
     const std::uint64_t newest = log_->end().segment;
@@ -92,6 +109,7 @@
   if (log_->oldest() != 0) index_.forget_before(log_->oldest());
   figures_.read = log_->counts().records;
   if (found_) figures_.checkpoint_fault = found_->fault;
+  if (found_ && found_->fault.empty()) checkpointed_ = found_->from;
   latest_ = log_->counts().latest;
   try {
     reopen(moment(now));
@@ -316,6 +334,14 @@
   });
 }
 
+void tables::each_key(const std::string& table, std::int64_t now,
+                      const std::function<void(const std::string&, std::int64_t)>& each) const {
+  index_.scan(table, "", "", std::nullopt, [&](const std::string& key, const place& p) {
+    if (visible(&p, now) != nullptr) each(key, p.expiry);
+    return true;
+  });
+}
+
 tables::snapshot tables::open_snapshot(std::int64_t now) {
   latest_ = moment(now);
   end_old_snapshots(latest_);
@@ -422,6 +448,10 @@
 
 bool tables::age_step(std::int64_t now) {
   latest_ = moment(now);
+  if (age_at_.first.empty()) {  // a table's name never is
+    if (latest_ < next_round_) return false;
+    next_round_ = latest_ + shortest_life(options_.life) / rounds_a_life;
+  }
   for (std::size_t i = 0; i < options_.slice; ++i) {
     const auto next = index_.behind(age_at_.first, age_at_.second);
     if (!next) {
@@ -441,6 +471,8 @@
   try {
     flush(now);
     if (checkpoint_ == nullptr) {
+      if (log_->end() == checkpointed_) return false;
+      checkpoint_from_ = log_->end();
       constexpr std::uint64_t beside_keys = 128;
       checkpoint_ = std::make_unique<checkpoint_writer>(fs_, options_.folder, log_->salt(), log_->end(),
                                                         index_.keys() * beside_keys);
@@ -453,6 +485,7 @@
         checkpoint_->add(entries);
         checkpoint_->finish();
         checkpoint_.reset();
+        checkpointed_ = checkpoint_from_;
         ++figures_.checkpoints;
         return false;
       }
@@ -540,10 +573,15 @@
       fs, folder, [](std::uint32_t, std::string_view) { return never; },
       [&](std::uint32_t type, std::string_view body, const position& at) {
         if (oldest == 0) oldest = at.segment;
+        if (!of_a_table(type)) {
+          ++found.older;
+          return;
+        }
         replay(all, type, body, at, ++s);
         if (whole && std::pair(at.segment, at.offset) >= std::pair(found.checkpoint->from.segment, found.checkpoint->from.offset))
           replay(by_checkpoint, type, body, at, s);
-      });
+      },
+      format::tables);
   if (whole) by_checkpoint.forget_before(oldest);
   std::string table, key;
   for (auto next = all.behind(table, key); next; next = all.behind(table, key)) {
--- a/src/store/tables.hpp
+++ b/src/store/tables.hpp
@@ -40,6 +40,9 @@
   std::size_t slice = 256;                          // keys in a slice of a checkpoint or of ageing
   std::uint64_t slice_bytes = std::uint64_t{64} << 10;  // copied in a slice of cleaning
   std::uint64_t salt = 0;                           // for a new folder
+  // Of records that are no tables', in their order: the folder was an older program's (format::records). What of them is to
+  // stay their owner puts into tables, and marks that it has; cleaning takes them away. None: they are damage.
+  std::function<void(std::uint32_t type, std::string_view body)> older = {};
 };
 
 // Changes of several keys in any tables; of one key the last one counts.
@@ -94,6 +97,9 @@
   // Keys from `from` to before `to` (empty: to the last), in order, until `each` returns false; it must not write.
   void scan(const std::string& table, const std::string& from, const std::string& to, std::int64_t now,
             std::optional<snapshot> of, const std::function<bool(const std::string&, const std::string&)>& each) const;
+  // Every key of a table with the moment at which it ages (0: never), in order; no value is read.
+  void each_key(const std::string& table, std::int64_t now,
+                const std::function<void(const std::string& key, std::int64_t expiry)>& each) const;
   snapshot open_snapshot(std::int64_t now);
   void close_snapshot(snapshot s);
 
@@ -112,8 +118,10 @@
   wanted_segment oldest_wanted() const;
   static read_ahead read_segment(file_system& fs, const std::string& folder, const wanted_segment& which);
   void take(read_ahead r, std::int64_t now);
-  bool checkpoint_step(std::int64_t now);  // begins one where none is under way; false: it counts now
-  bool age_step(std::int64_t now);         // lets go of keys that have aged; false: once round
+  bool checkpoint_step(std::int64_t now);  // begins one where none is under way; false: it counts now, or nothing is new
+  // Lets go of keys that have aged; false: once round, or too soon for another: a sixteenth of the shortest life goes by between
+  // the begins of two rounds, so that a walk through all keys is paid for by enough of them.
+  bool age_step(std::int64_t now);
   bool backup_step(std::int64_t now);      // after begin_backup(); false: it is whole
   // Into a folder that holds nothing. Cleaning waits until it is whole or ended. Throws io_error.
   void begin_backup(const std::string& folder);
@@ -131,6 +139,13 @@
     bool cleaning_wanted = false, held_by_snapshot = false;
   };
   figures show() const;
+  std::uint64_t salt() const { return log_->salt(); }
+  std::int64_t latest() const { return latest_; }  // the latest moment that the folder knows of
+  // A segment is open for writes. After a failure the next write opens one, or this. Throws io_error.
+  bool writable() const { return log_->is_open(); }
+  void mend(std::int64_t now) { reopen(now); }
+  // The decision on what may be written, as it is now, for whoever asks before a batch is made.
+  const cleaning& rules() const { return cleaning_; }
 
  private:
   struct pending {
@@ -194,7 +209,9 @@
   std::optional<cleaned_segment> cleaned_;
   bool held_by_snapshot_ = false;
   std::unique_ptr<checkpoint_writer> checkpoint_;
+  position checkpoint_from_, checkpointed_;  // the log's end at the begin of the one under way, and of the last whole one
   std::pair<std::string, std::string> checkpoint_at_, age_at_;
+  std::int64_t next_round_ = 0;  // of ageing
   std::optional<backup> backup_;
   figures figures_;
 };
@@ -202,6 +219,7 @@
 // What a folder holds that no process has, as of `now`; nothing in it changes. Throws held, io_error or damaged.
 struct inspected {
   recovered_counts log;
+  std::uint64_t older = 0;                  // records of the format before tables
   std::map<std::string, std::size_t> keys;  // by table
   std::optional<checkpoint_found> checkpoint;
 };
