--- a/bench/background_bench.cpp
+++ b/bench/background_bench.cpp
@@ -1,6 +1,7 @@
 // Measures what background work costs requests: the node under a steady load of reads while the folder of its keyed results
 // is scrubbed again and again, with the budgets as wide as they go, with the usual ones, and not at all. The node and its
-// workers share one core, the callers have the others. One table, one run; figures are ratios within it.
+// workers share one core, the callers have the others. Then the same for writes over two participants, whose folder is a store
+// of tables that is cleaned, with as good as no budget for it at first. A table each, one run; figures are ratios within it.
 #include <sched.h>
 
 #include <algorithm>
@@ -9,7 +10,9 @@
 #include <filesystem>
 #include <thread>
 
+#include "../tests/net/uwsgi_peer.hpp"
 #include "../tests/peers/quick_runtime.hpp"
+#include "../tests/peers/uwsgi_server.hpp"
 #include "keyed/records.hpp"
 #include "store/log.hpp"
 
@@ -54,6 +57,7 @@
   std::string keyed, background;
   std::vector<double> ms;
   double read = 0, seconds = 0;
+  double used = 0;  // bytes on disk at the end
 };
 
 double at(std::vector<double>& v, double quantile) {
@@ -69,32 +73,36 @@
   CHECK(::sched_setaffinity(0, sizeof cores, &cores) == 0);
 }
 
-void play(mode& m, const std::string& folder) {
-  const int console = free_port();
+node_options options_with(int console) {
   node_options o;
   o.quota = o.other_quota = 100000;
   o.cores = 64;
   o.edit_from = "\"seed\"";
   o.edit_to = "\"console\":\"" + own_host() + ":" + std::to_string(console) + "\",\"seed\"";
-  o.operators = "class kurs-meldung {\n keyed = yes\n window = 1h\n}\nkeyed {\n folder = \"" + folder +
-                "\"\n thrift_field = key\n" + m.keyed + "}\n" + m.background;
-  peers::quick_runtime runtime;
-  run_on(0, 1);
-  node n(runtime.r, o);
-  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
-  runtime.start();
-  n.logged(" start: n0");
-  std::this_thread::sleep_for(300ms);
+  return o;
+}
+
+// A figure of show-stat; 0: it has none such.
+double figure_of(int console, const std::string& name) {
+  connection c = connection::to(console);
+  c.send("show-stat\n");
+  const std::string text = c.rest();
+  const std::size_t found = text.find(name + "=");
+  return found == std::string::npos ? 0 : std::stod(text.substr(found + name.size() + 1));
+}
+
+// Clients that ask one request after the other, each timed, for so long.
+template <typename F>
+void load(mode& m, std::chrono::seconds how_long, F&& ask) {
   std::vector<std::vector<double>> took(clients);
   std::vector<std::thread> all;
-  const auto until = harness::clock::now() + each;
+  const auto until = harness::clock::now() + how_long;
   for (int c = 0; c < clients; ++c)
     all.emplace_back([&, c] {
-      connection to = connection::to(n.port);
+      auto one = ask(c);
       for (int i = 1; harness::clock::now() < until; ++i) {
         const auto begun = harness::clock::now();
-        to.send(execute(i, usual(c * 1'000'000 + i), "kurs"));
-        read_reply(to);
+        one(i);
         took[static_cast<std::size_t>(c)].push_back(
             std::chrono::duration<double, std::milli>(harness::clock::now() - begun).count());
         std::this_thread::sleep_for(1ms);
@@ -102,13 +110,78 @@
     });
   for (std::thread& t : all) t.join();
   for (const auto& t : took) m.ms.insert(m.ms.end(), t.begin(), t.end());
-  connection c = connection::to(console);
-  c.send("show-stat\n");
-  const std::string text = c.rest();
-  const std::string name = "background.scrub-results.read=";
-  if (const std::size_t found = text.find(name); found != std::string::npos)
-    m.read += std::stod(text.substr(found + name.size()));
-  m.seconds += std::chrono::duration<double>(each).count();
+  m.seconds += static_cast<double>(how_long.count());
+}
+
+void play(mode& m, const std::string& folder) {
+  const int console = free_port();
+  node_options o = options_with(console);
+  o.operators = "class kurs-meldung {\n keyed = yes\n window = 1h\n}\nkeyed {\n folder = \"" + folder +
+                "\"\n thrift_field = key\n" + m.keyed + "}\n" + m.background;
+  peers::quick_runtime runtime;
+  run_on(0, 1);
+  node n(runtime.r, o);
+  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
+  runtime.start();
+  n.logged(" start: n0");
+  std::this_thread::sleep_for(300ms);
+  load(m, each, [&](int c) {
+    return [c, to = connection::to(n.port)](int i) mutable {
+      to.send(execute(i, usual(c * 1'000'000 + i), "kurs"));
+      read_reply(to);
+    };
+  });
+  m.read += figure_of(console, "background.scrub-results.read");
+}
+
+// Writes over two participants of which every other one is refused, so that most of the folder soon counts no more.
+void play_writes(mode& m, const std::string& folder) {
+  std::filesystem::remove_all(folder);
+  const int console = free_port(), port = free_port();
+  const auto answer = [](const peers::uwsgi_request& q) {
+    const bool odd = q.vars.at("KEY").back() % 2 == 1;
+    return peers::reaction{0us, odd && q.vars.at("STEP") == "prepare" ? peers::manner::refuse : peers::manner::whole,
+                           std::string(1000, 'r')};
+  };
+  node_options o = options_with(console);
+  o.write_aim_ms = 300;
+  peers::quick_runtime runtime;
+  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
+  peers::uwsgi_server konto(answer), buch(answer);
+  o.operators = "uwsgi {\n listen = \"" + own_host() + ":" + std::to_string(port) + "\"\n servers = {\"" + own_host() +
+                ":1\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\ndependency konto {\n endpoints = {\"" +
+                konto.address() + "\"}\n}\ndependency buch {\n endpoints = {\"" + buch.address() +
+                "\"}\n}\nclass kurs-meldung {\n uwsgi_values = {\"/kurs/meldung\"}\n keyed = yes\n window = 10m\n"
+                " participants = {konto, buch}\n}\nkeyed {\n folder = \"" + folder + "/results\"\n uwsgi_var = KEY\n}\nwrites {\n folder = \"" +
+                folder + "/writes\"\n step_var = STEP\n id_var = WRITE_ID\n segment = 1MiB\n space = 1GiB\n}\n" + m.background;
+  std::filesystem::create_directories(folder);
+  run_on(0, 1);
+  node n(runtime.r, o);
+  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
+  runtime.start();
+  n.logged(" start: n0");
+  std::this_thread::sleep_for(300ms);
+  load(m, 2 * each, [&](int c) {
+    return [c, port](int i) {
+      connection to = connection::to(port);
+      to.send(uwsgi_peer::packet({{"PATH_INFO", "/kurs/meldung"}, {"REMOTE_USER", "isar-invest"},
+                                  {"KEY", std::to_string(c) + "-" + std::to_string(i)}, {"CONTENT_LENGTH", "1900"}},
+                                 std::string(1900, 'x')));
+      CHECK(to.rest().size() > 20);
+    };
+  });
+  m.read += figure_of(console, "background.clean-writes.read");
+  m.used = std::max(m.used, figure_of(console, "writes.disk_used"));
+}
+
+void print(std::vector<mode>& modes) {
+  const double p50 = at(modes[0].ms, 0.5), p99 = at(modes[0].ms, 0.99);
+  std::printf("| background work | requests | p50 over the first | p99 over the first | MiB read a second | MiB on disk |\n"
+              "| --- | --- | --- | --- | --- | --- |\n");
+  for (mode& m : modes)
+    std::printf("| %s | %zu | %.2f | %.2f | %.1f | %.1f |\n", m.name, m.ms.size(), at(m.ms, 0.5) / p50, at(m.ms, 0.99) / p99,
+                m.read / m.seconds / (1 << 20), m.used / (1 << 20));
+  std::printf("the first: p50 %.3f ms, p99 %.3f ms\n", p50, p99);
 }
 
 }  // namespace
@@ -119,19 +192,20 @@
   const std::string folder = std::string(name) + "/results";
   fill(folder);
   const std::string wide = "background {\n cpu = 16\n read = \"1024GiB\"\n quiet = 1\n busy = 1\n calm = 0s\n}\n";
-  std::vector<mode> modes = {{"off", "", "", {}, 0, 0},
-                             {"scrubbing without a pause, budgets as wide as they go", " scrub = 1ms\n", wide, {}, 0, 0},
-                             {"scrubbing without a pause, usual budgets", " scrub = 1ms\n", "", {}, 0, 0}};
+  std::vector<mode> modes = {{"off", "", "", {}, 0, 0, 0},
+                             {"scrubbing without a pause, budgets as wide as they go", " scrub = 1ms\n", wide, {}, 0, 0, 0},
+                             {"scrubbing without a pause, usual budgets", " scrub = 1ms\n", "", {}, 0, 0, 0}};
   for (int r = 0; r < rounds; ++r)
     for (mode& m : modes) play(m, folder);
   std::printf("%d results, %d rounds of %lld s each in turn, %d clients\n", results, rounds,
               static_cast<long long>(each.count()), clients);
-  std::printf("| background work | requests | p50 over off | p99 over off | MiB read a second |\n| --- | --- | --- | --- | --- |\n");
-  const double p50 = at(modes[0].ms, 0.5), p99 = at(modes[0].ms, 0.99);
-  for (mode& m : modes)
-    std::printf("| %s | %zu | %.2f | %.2f | %.1f |\n", m.name, m.ms.size(), at(m.ms, 0.5) / p50, at(m.ms, 0.99) / p99,
-                m.read / m.seconds / (1 << 20));
-  std::printf("off: p50 %.3f ms, p99 %.3f ms\n", p50, p99);
+  print(modes);
+  std::vector<mode> cleaning = {{"writes, as good as no cleaning", "", "background {\n cpu = 0.001\n read = \"1KiB\"\n}\n", {}, 0, 0, 0},
+                                {"writes, cleaned with budgets as wide as they go", "", wide, {}, 0, 0, 0},
+                                {"writes, cleaned with usual budgets", "", "", {}, 0, 0, 0}};
+  for (int r = 0; r < rounds; ++r)
+    for (mode& m : cleaning) play_writes(m, std::string(name) + "/written");
+  print(cleaning);
   std::filesystem::remove_all(name);
   return 0;
 }
