--- a/src/dependencies/write_folder.hpp
+++ b/src/dependencies/write_folder.hpp
@@ -18,8 +18,8 @@
 struct write_folder_options {
   std::string folder;
   std::uint64_t segment = std::uint64_t{8} << 20, space = std::uint64_t{256} << 20;  // bytes
-  std::chrono::nanoseconds keep{};  // an outcome, from its write's end
-  std::uint64_t salt = 0;           // for a new folder
+  std::chrono::nanoseconds keep{};                                                   // an outcome, from its write's end
+  std::uint64_t salt = 0;                                                            // for a new folder
 };
 
 struct found_write {
--- a/src/dependencies/write_records.cpp
+++ b/src/dependencies/write_records.cpp
@@ -40,8 +40,8 @@
   return store::room_for(store::row_head + store::longest_table_name + key + value);
 }
 
-// A mark of before tables: id, expiry, mark, whether it committed; then class, key, payload and endpoints, each with its length.
-// What only matters with some marks is empty in others. Marks of before endpoints were chosen end after the payload.
+// A mark of before tables: id, expiry, mark, whether it committed; then class, key, payload and endpoints, each with its
+// length. What only matters with some marks is empty in others. Marks of before endpoints were chosen end after the payload.
 struct older_mark {
   std::string id;
   std::int64_t expiry = 0;
@@ -157,7 +157,10 @@
     // Without a class it carries on a write of which nothing else is left.
     if (m->request_class.empty()) return;
     all_[m->id] = {{m->id, std::move(m->request_class), std::move(m->key), std::move(m->payload), std::move(m->endpoints)},
-                   m->what, false, m->expiry, {}};
+                   m->what,
+                   false,
+                   m->expiry,
+                   {}};
     return;
   }
   one& w = known->second;
--- a/src/dependencies/writer.cpp
+++ b/src/dependencies/writer.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr duration age_every = std::chrono::seconds(1);
+
 const char* name_of(step_kind what) {
   switch (what) {
     case step_kind::prepare: return "prepare";
@@ -99,7 +100,10 @@
   }
 }
 
-writer::~writer() = default;
+// A slice of background work may still have the service, and its end must not wake a reactor that has gone.
+writer::~writer() {
+  if (service_ != nullptr) service_->stop();
+}
 
 void writer::open_folder() {
   const writes_config& w = *config_.writes;
@@ -362,7 +366,8 @@
 std::string writer::figures() const {
   return "writes.open=" + std::to_string(open_.size()) + "\nwrites.outcomes=" + std::to_string(outcomes_.size()) +
          "\nwrites.turned_away=" + std::to_string(turned_away_) + "\nwrites.holds_folder=" + (service_ ? "1" : "0") + "\n" +
-         (disk_ ? "writes.disk_used=" + std::to_string(disk_->disk.used) + "\nwrites.disk_live=" + std::to_string(disk_->disk.live) +
+         (disk_ ? "writes.disk_used=" + std::to_string(disk_->disk.used) +
+                      "\nwrites.disk_live=" + std::to_string(disk_->disk.live) +
                       "\nwrites.disk_writable=" + (disk_->writable ? "1" : "0") + "\n"
                 : std::string());
 }
@@ -433,7 +438,9 @@
 void writer::on_read(const reading& r, const store::table_service::done& d) {
   const auto e = d.value ? read_ended(*d.value) : std::nullopt;
   const bool ours = e && e->key == r.key;
-  if (!ours) log("writes", "a result cannot be read: %s", !d.fault.empty() ? d.fault.c_str() : e ? "it is another one's" : "it is not there");
+  if (!ours)
+    log("writes", "a result cannot be read: %s",
+        !d.fault.empty() ? d.fault.c_str() : e ? "it is another one's" : "it is not there");
   dispatcher_.on_inquired(r.id, ours ? inquiry_end::result : inquiry_end::unknown, ours ? e->result : std::string());
 }
 
--- a/src/dependencies/writer.hpp
+++ b/src/dependencies/writer.hpp
@@ -1,6 +1,6 @@
 // Runs writes of classes with several participants: whole at all or at none, across restarts. `transaction` decides; this
-// takes its steps over uwsgi and has its marks on disk, as rows of tables, in a folder of its own (docs/store.md). Writes have keys (src/keyed): a key's run is
-// one transaction, and after a crash its outcome is found by the key.
+// takes its steps over uwsgi and has its marks on disk, as rows of tables, in a folder of its own. Writes have keys
+// (src/keyed): a key's run is one transaction, and after a crash its outcome is found by the key.
 //
 // Two processes never have the folder at once: one that finds it held (a replacement) turns writes away with a time to
 // return, answers no inquiry, and takes the folder over once it is let go. The reactor's thread; the disk has its own.
--- a/src/node/background.cpp
+++ b/src/node/background.cpp
@@ -67,7 +67,8 @@
   using work = store::table_service::work;
   using namespace std::chrono_literals;
   const auto add = [&](const char* name, work w, duration every, duration deadline, int priority) {
-    pool_.add({.name = name + ("-" + what), .priority = priority, .every = every, .deadline = deadline, .after = {}, .budget = {}},
+    pool_.add({.name = name + ("-" + what), .priority = priority, .every = every, .deadline = deadline, .after = {},
+               .budget = {}},
               [tables, w](const std::atomic<bool>&) -> scheduler::slice_result {
                 const auto t = tables.lock();
                 if (t == nullptr) return {};
--- a/src/node/background.hpp
+++ b/src/node/background.hpp
@@ -1,5 +1,5 @@
-// The node's background work: the folders' scrubbing, and cleaning, checkpoints and ageing of stores of tables, under the scheduler, held back by what the admission module and the
-// cores have to do (docs/scheduler.md).
+// The node's background work: the folders' scrubbing, and cleaning, checkpoints and ageing of stores of tables, under the
+// scheduler, held back by what the admission module and the cores have to do (docs/scheduler.md).
 //
 // Exists only where the operator's file asks for such work; `run` on the platform never does. Owned by the reactor's
 // thread; the work itself is done on threads of the pool.
--- a/src/store/table_service.cpp
+++ b/src/store/table_service.cpp
@@ -12,15 +12,17 @@
 
 table_service::table_service(std::shared_ptr<file_system> fs, std::string folder, std::unique_ptr<tables> t,
                              table_service_options o, std::function<std::int64_t()> now, std::function<void()> notify)
-    : fs_(std::move(fs)), folder_(std::move(folder)), options_(o), now_(std::move(now)), notify_(std::move(notify)), tables_(std::move(t)),
-      queue_(o.queue), condition_{false, {}, {}, tables_->rules()} {
+    : fs_(std::move(fs)), folder_(std::move(folder)), options_(o), now_(std::move(now)), notify_(std::move(notify)),
+      tables_(std::move(t)), queue_(o.queue), condition_{false, {}, {}, tables_->rules()} {
   look_after(false);
   thread_ = std::thread([this] { serve(); });
 }
 
-table_service::~table_service() {
+table_service::~table_service() { stop(); }
+
+void table_service::stop() {
   queue_.stop();
-  thread_.join();
+  if (thread_.joinable()) thread_.join();
 }
 
 std::unique_lock<std::mutex> table_service::hold() const {
@@ -136,7 +138,8 @@
   return due && *due <= now_();
 }
 
-// Under the tables' guard. In their order: a get behind a commit sees it. Durable commits that stand next to each other go together.
+// Under the tables' guard. In their order: a get behind a commit sees it. Durable commits that stand next to each other go
+// together.
 std::vector<table_service::done> table_service::carry_out(std::vector<task>& all) {
   const std::int64_t now = now_();
   std::vector<done> out;
--- a/src/store/table_service.hpp
+++ b/src/store/table_service.hpp
@@ -53,8 +53,10 @@
   // thread, `now` also from who calls for slices, which may outlive the owner's own end: so `fs` is shared.
   table_service(std::shared_ptr<file_system> fs, std::string folder, std::unique_ptr<tables> t, table_service_options o,
                 std::function<std::int64_t()> now, std::function<void()> notify);
-  // What was asked for is done first, and what waits in memory is written.
   ~table_service();
+  // What was asked for is done first, and what waits in memory is written; from then on `notify` is not called, and commit()
+  // and get() take nothing. For an owner that goes while a slice of somebody else's still has this.
+  void stop();
   table_service(const table_service&) = delete;
   table_service& operator=(const table_service&) = delete;
 
--- a/src/store/tables.hpp
+++ b/src/store/tables.hpp
@@ -119,8 +119,8 @@
   static read_ahead read_segment(file_system& fs, const std::string& folder, const wanted_segment& which);
   void take(read_ahead r, std::int64_t now);
   bool checkpoint_step(std::int64_t now);  // begins one where none is under way; false: it counts now, or nothing is new
-  // Lets go of keys that have aged; false: once round, or too soon for another: a sixteenth of the shortest life goes by between
-  // the begins of two rounds, so that a walk through all keys is paid for by enough of them.
+  // Lets go of keys that have aged; false: once round, or too soon for another: a sixteenth of the shortest life goes by
+  // between the begins of two rounds, so that a walk through all keys is paid for by enough of them.
   bool age_step(std::int64_t now);
   bool backup_step(std::int64_t now);      // after begin_backup(); false: it is whole
   // Into a folder that holds nothing. Cleaning waits until it is whole or ended. Throws io_error.
--- a/tests/dependencies/write_folder_test.cpp
+++ b/tests/dependencies/write_folder_test.cpp
@@ -19,7 +19,9 @@
 constexpr std::int64_t second = 1'000'000'000;
 constexpr std::uint64_t segment = 8 << 10;
 
-write_folder_options options(std::uint64_t space = 64 * segment) { return {"f", segment, space, std::chrono::seconds(60), 7}; }
+write_folder_options options(std::uint64_t space = 64 * segment) {
+  return {"f", segment, space, std::chrono::seconds(60), 7};
+}
 
 std::string id_of(std::uint64_t n) {
   char text[33];
@@ -37,7 +39,8 @@
               back->endpoints == w.endpoints);
     const std::size_t cut = static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(begun.size())));
     RC_ASSERT(!read_begun(w.id, begun.substr(0, cut)) && !read_begun(w.id, begun + "x"));
-    const outcome_id o{*rc::gen::arbitrary<std::uint64_t>(), {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()}};
+    const outcome_id o{*rc::gen::arbitrary<std::uint64_t>(),
+                       {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()}};
     const auto again = read_outcome_key(outcome_key(o));
     RC_ASSERT(again && again->number == o.number && again->key == o.key);
     const outcome_id p{*rc::gen::arbitrary<std::uint64_t>(), o.key};
@@ -69,8 +72,8 @@
 }
 
 struct model {
-  std::map<std::string, log_mark> open;              // by id
-  std::map<std::uint64_t, std::string> over;         // by number: the result
+  std::map<std::string, log_mark> open;       // by id
+  std::map<std::uint64_t, std::string> over;  // by number: the result
   std::map<std::string, begun_write> begun;
 };
 
@@ -78,8 +81,9 @@
 model older_folder(crash::fs& fs, unsigned seed, int n, std::int64_t now) {
   std::mt19937 random(seed);
   model m;
-  store::log l(fs, {"f", segment, 16 * segment, 7}, [](std::uint32_t, std::string_view) { return store::never; },
-               [](std::uint32_t, std::string_view, const store::position&) {});
+  store::log l(
+      fs, {"f", segment, 16 * segment, 7}, [](std::uint32_t, std::string_view) { return store::never; },
+      [](std::uint32_t, std::string_view, const store::position&) {});
   l.open(second);
   const auto append = [&](const store::entry& e) { l.append(std::span(&e, 1), second); };
   for (int i = 1; i <= n; ++i) {
@@ -95,14 +99,16 @@
     if (random() % 2 == 0) mark(log_mark::asked_last);
     if (random() % 2 == 0) mark(random() % 3 == 0 ? log_mark::aborted : log_mark::decided);
     // Renewed, perhaps with a mark from before the last one.
-    if (random() % 2 == 0) append(older_entry(w, random() % 2 == 0 ? last : log_mark::begun, false, true, now + 50 * second));
+    if (random() % 2 == 0)
+      append(older_entry(w, random() % 2 == 0 ? last : log_mark::begun, false, true, now + 50 * second));
     if (random() % 2 == 0) {
       m.open[w.id] = last;
       continue;
     }
     const bool committed = last == log_mark::decided, aged = random() % 4 == 0;
     const std::string result(random() % 900, static_cast<char>('a' + i % 26));
-    append(older_entry(w, log_mark::over, committed, false, aged ? now - second : now + 50 * second, committed ? result : ""));
+    append(
+        older_entry(w, log_mark::over, committed, false, aged ? now - second : now + 50 * second, committed ? result : ""));
     if (committed && !aged) m.over[static_cast<std::uint64_t>(i)] = result;
   }
   return m;
@@ -158,8 +164,9 @@
     CHECK(store::inspect_tables(fs, "f", now + second).older == 0);
     expect(open_write_folder(fs, options(), now + second), m, now + second);
     try {
-      store::log older(fs, {"f", segment, 16 * segment, 7}, [](std::uint32_t, std::string_view) { return std::int64_t{0}; },
-                       [](std::uint32_t, std::string_view, const store::position&) {});
+      store::log older(
+          fs, {"f", segment, 16 * segment, 7}, [](std::uint32_t, std::string_view) { return std::int64_t{0}; },
+          [](std::uint32_t, std::string_view, const store::position&) {});
       CHECK(false);
     } catch (const store::damaged& e) {
       CHECK(std::string(e.what()).find("format version 2") != std::string::npos);
--- a/tests/net/writing_test.cpp
+++ b/tests/net/writing_test.cpp
@@ -124,7 +124,7 @@
 }
 
 // A write that is decided and whose participant is away for longer than the window of its key, while so many others come
-// and go that the files with its marks age: after a crash it goes on all the same, and is whole.
+// and go that the files with its marks are cleaned away: after a crash it goes on all the same, and is whole.
 void open_for_long() {
   site s({.aim_ms = 400, .window = "3s", .of_writes = " segment = 1MiB\n space = 16MiB"});
   std::atomic<bool> away = true;
--- a/tests/store/tables_test.cpp
+++ b/tests/store/tables_test.cpp
@@ -797,6 +797,8 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
   CHECK(all[0].ticket == 2 && all[0].fault.empty() && all[0].v.may);
+  s.stop();  // slices may go on, requests not
+  CHECK(!s.commit(3, b, durability::now) && s.step(table_service::work::clean).fault.empty());
   std::filesystem::remove_all(name);
 }
 
