--- a/bench/background_bench.cpp
+++ b/bench/background_bench.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <filesystem>
+#include <memory>
 #include <thread>
 
 #include "../tests/net/uwsgi_peer.hpp"
@@ -113,20 +114,26 @@
   m.seconds += static_cast<double>(how_long.count());
 }
 
+// The node and its workers on one core, whoever calls it on the others.
+std::unique_ptr<node> start_on_one_core(peers::quick_runtime& runtime, const node_options& o) {
+  run_on(0, 1);
+  auto n = std::make_unique<node>(runtime.r, o);
+  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
+  runtime.start();
+  n->logged(" start: n0");
+  std::this_thread::sleep_for(300ms);
+  return n;
+}
+
 void play(mode& m, const std::string& folder) {
   const int console = free_port();
   node_options o = options_with(console);
   o.operators = "class kurs-meldung {\n keyed = yes\n window = 1h\n}\nkeyed {\n folder = \"" + folder +
                 "\"\n thrift_field = key\n" + m.keyed + "}\n" + m.background;
   peers::quick_runtime runtime;
-  run_on(0, 1);
-  node n(runtime.r, o);
-  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
-  runtime.start();
-  n.logged(" start: n0");
-  std::this_thread::sleep_for(300ms);
+  const auto n = start_on_one_core(runtime, o);
   load(m, each, [&](int c) {
-    return [c, to = connection::to(n.port)](int i) mutable {
+    return [c, to = connection::to(n->port)](int i) mutable {
       to.send(execute(i, usual(c * 1'000'000 + i), "kurs"));
       read_reply(to);
     };
@@ -155,12 +162,7 @@
                 " participants = {konto, buch}\n}\nkeyed {\n folder = \"" + folder + "/results\"\n uwsgi_var = KEY\n}\nwrites {\n folder = \"" +
                 folder + "/writes\"\n step_var = STEP\n id_var = WRITE_ID\n segment = 1MiB\n space = 1GiB\n}\n" + m.background;
   std::filesystem::create_directories(folder);
-  run_on(0, 1);
-  node n(runtime.r, o);
-  run_on(1, static_cast<int>(std::thread::hardware_concurrency()));
-  runtime.start();
-  n.logged(" start: n0");
-  std::this_thread::sleep_for(300ms);
+  const auto n = start_on_one_core(runtime, o);
   load(m, 2 * each, [&](int c) {
     return [c, port](int i) {
       connection to = connection::to(port);
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -616,6 +616,12 @@
     w.id_var = s.needed("id_var");
     // A batch is at most a quarter of a segment, and a result may take write_buffer; cleaning needs room to turn.
     w.segment = s.bytes("segment", 1 << 20, std::uint64_t{1} << 30);
+    // Guards against an outcome that no batch can hold: its write could never be over.
+    for (const write_plan& p : w.plans) {
+      const std::uint64_t result = p.participants.size() * (c.bounds.result + c.bounds.response_head);
+      const std::uint64_t most = std::max<std::uint64_t>(result, c.bounds.write_buffer) + c.keyed->longest_key + (8 << 10);
+      if (most > w.segment / 4) s.fail("segment", "is too small for the results of so many participants", s.text("segment"));
+    }
     w.space = s.bytes("space", store::least_segments * w.segment, std::uint64_t{1} << 50);
     w.retry = s.time("retry", 10ms, 60s);
     w.longest_retry = s.time("longest_retry", w.retry, 3600s);
--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -108,6 +108,22 @@
     CHECK(fault(text) == message);
   }
   CHECK(fault(keyed) == "none");
+  // Writes: what an outcome may take fits into a batch, and the space is enough for cleaning to turn.
+  const auto writes_over = [](int participants, const std::string& sizes) {
+    std::string text = "uwsgi {\n  listen = \"127.0.0.1:1\"\n  servers = {\"127.0.0.1:2\"}\n  class_var = C\n  tenant_var = T\n}\n"
+                       "keyed {\n  folder = \"/tmp/x\"\n  uwsgi_var = K\n}\n", names;
+    for (int i = 0; i < participants; ++i) {
+      const std::string name = "p" + std::to_string(i);
+      text += "dependency " + name + " {\n  endpoints = {\"127.0.0.1:3\"}\n}\n";
+      names += (names.empty() ? "" : ", ") + name;
+    }
+    return text + "class kurs-meldung {\n  keyed = yes\n  participants = {" + names +
+           "}\n}\nwrites {\n  folder = \"/tmp/y\"\n  step_var = S\n  id_var = I\n" + sizes + "}\n";
+  };
+  CHECK(fault(writes_over(2, "  segment = 1MiB\n  space = 12MiB\n")) == "none");
+  CHECK(fault(writes_over(2, "  segment = 1MiB\n  space = 11MiB\n")).find("writes.space is not from 12582912") != std::string::npos);
+  CHECK(fault(writes_over(40, "  segment = 1MiB\n")).find("writes.segment is too small for the results") != std::string::npos);
+  CHECK(fault(writes_over(40, "")) == "none");
   try {
     config c = platform();
     apply_operator_file(c, work_folder() + "/none.conf");
