Review, case 1: a keyed write runs again after the process was replaced

Cause: the keys and results of a class that the platform's settings call keyed live in the memory of one process; nothing of them goes to the process that replaces it, and that one starts keyed requests at once.

Nothing else is touched.

--- /dev/null
+++ b/review/1/case.cpp
@@ -0,0 +1,115 @@
+// Case 1: a repeat of a keyed write after the process was replaced. See claim.txt.
+#include "../standins.hpp"
+
+using namespace review;
+
+namespace {
+
+constexpr int longest_deadline_ms = 4500;  // of the site's classes
+constexpr int limit_ms = 3000;             // how long the balancer waits for a try
+constexpr int window_ms = 11163;           // of book-slot
+
+std::vector<std::pair<std::string, std::string>> variables(const scratch& s, const std::string& config,
+                                                           const addresses& at) {
+  return {{"PROXY_NAME", "n1"},
+          {"PROXY_LISTEN", host_port(at.listen)},
+          {"PROXY_CONFIG", config},
+          {"PROXY_CONSOLE", host_port(at.console)},
+          {"TMPDIR", s.folder("tmp")}};  // shared by both processes and not emptied
+}
+
+void wait_until_ready(const addresses& at, node& process, int within_ms) {
+  for (const auto until = steady::now() + std::chrono::milliseconds(within_ms); steady::now() < until;
+       sleep_ms(50)) {
+    process.require_alive();
+    if (console(at.console, "ready") == "200 yes") return;
+  }
+  throw cannot_run("the console does not say that the process takes clients");
+}
+
+// DAYS, Replacing the process.
+void replace(const scratch& s, node& first, std::unique_ptr<node>& second, const addresses& at,
+             const std::string& config) {
+  second = std::make_unique<node>("second process", variables(s, config, at), s.path() + "/second.log");
+  wait_until_ready(at, *second, 6000);
+  record::line("the second process says yes");
+  first.signal(SIGTERM, "SIGTERM");
+  if (!first.ends_within(longest_deadline_ms + 700)) {
+    record::line("first process: SIGKILL");
+    first.kill_now();
+  }
+}
+
+void report(const char* what, const request& sent, const message& answer) {
+  record::line("answer to %s (%s): %s%s%s", what, sent.txn.c_str(),
+               answer.kind.empty() ? "none" : answer.kind.c_str(), answer.body.empty() ? "" : ": ",
+               answer.body.c_str());
+}
+
+int play() {
+  scratch s;
+  catalog reports;
+  runtime cores(2);  // the new process is given another address of the runtime
+  const site k = kingston();
+  cores.halt = k.halt;
+  addresses first_at{free_port(), cores.port(0), reports.port(), free_port()};
+  addresses second_at{first_at.listen, cores.port(1), reports.port(), free_port()};
+  const std::string first_config = s.write("first.json", configuration(k, first_at));
+  const std::string second_config = s.write("second.json", configuration(k, second_at));
+
+  node first("first process", variables(s, first_config, first_at), s.path() + "/first.log");
+  std::unique_ptr<node> second;
+  wait_until_healthy(first_at.listen, first);
+  wait_until_ready(first_at, first, 10000);
+
+  const std::string key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+  const std::string body = "book-slot 17 for applicant 4711";
+  // The first try. Its connection is reset just as the answer comes, so the answer is lost (LATER, Bad
+  // peers).
+  const request try1 = try_of(1, "book-slot", "desk-north", body, key, limit_ms);
+  const std::int64_t door1 = unix_ms();
+  {
+    balancer caller(first_at.listen);
+    cores.written(try1, 150);
+    caller.execute(try1);
+    record::line("try 1 written: txn %s, unique %s", try1.txn.c_str(), key.c_str());
+    if (!caller.readable(limit_ms)) throw cannot_run("the first try was not answered");
+    record::line("the balancer's connection is reset just as the answer to try 1 comes");
+    cores.over(try1.txn);
+    caller.reset();
+  }
+  if (cores.runs().size() != 1) throw cannot_run("the first try did not run");
+
+  if (trouble())
+    replace(s, first, second, second_at, second_config);
+  else
+    sleep_ms(1500);
+
+  // The client tries again: the same request, with a new txn.
+  const request try2 = try_of(2, "book-slot", "desk-north", body, key, limit_ms);
+  const std::int64_t door2 = unix_ms();
+  if (door2 - door1 >= window_ms) throw cannot_run("the replacement took longer than the window");
+  balancer caller(first_at.listen);
+  cores.written(try2, 150);
+  caller.execute(try2);
+  record::line("try 2 written: txn %s, the same unique and body, %lld ms after the door of try 1",
+               try2.txn.c_str(), static_cast<long long>(door2 - door1));
+  const message answer = caller.next(limit_ms + k.slack_ms + 50);
+  cores.over(try2.txn);
+  report("try 2", try2, answer);
+  sleep_ms(500);
+
+  const auto runs = cores.runs();
+  for (const auto& run : runs)
+    record::line("ran: txn %s, begun %lld ms after the door of try 1, %s", run.txn.c_str(),
+                 static_cast<long long>(run.started_ms - door1), run.how.c_str());
+  record::line("runs of the request within its window of %d ms: %zu (at most 1 is allowed)", window_ms,
+               runs.size());
+  return runs.size() > 1 ? broken : held;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_case(argc, argv, play);
+}
