Review: scripts that are run beside each other build their drivers apart

Cause: each run.sh built all drivers in place, so two scripts started at the same time on a fresh checkout could meet a half written one.

Change: a script builds its own driver only, under another name, and renames it.

--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -5,7 +5,7 @@
 export REVIEW_ROOT="$root"
 REVIEW_RUN="$(sed -n 's/^run *= *"\([^"]*\)".*/\1/p' "$root/deploy/balancer.toml")"
 export REVIEW_RUN
-if ! bash "$root/review/build.sh"; then echo "the stand-ins cannot be built" >&2; exit 2; fi
+if ! bash "$root/review/build.sh" "$(basename "$here")"; then echo "the stand-ins cannot be built" >&2; exit 2; fi
 if [ ! -x "$root/build/marblewharf" ]; then
   echo "build/marblewharf is missing: run the build line of deploy/balancer.toml first" >&2
   exit 2
