Share keyed writes' keys among the processes of a node that replace one another

Cause: the memory service kept keys and results in one process; the successor began with an empty table and took clients at once. The record shows it: the second start at the runtime's other address follows the orderly end of the first process.

Change: the processes of a node share a log of key events in $TMPDIR. An intent is in the log before a run starts; it is appended under a lock, after all earlier events were read, so that of two processes with the same key queued one runs it. A repeat waits for a run in another process and gets its result; if that process ends without one, the outcome is unknown. The lock is tried and never waited for; torn ends are cut, foreign files ignored, segments removed once expired. Memory and log take half each of the bytes that results may take. A process that leaves waits for its keyed runs also where their callers have left.

The harness gives each node a $TMPDIR of its own.

Why these ways: docs/operations.md; postmortem: docs/incidents.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -225,8 +225,11 @@
   if (entry == nullptr) return;
   const bool aborted = entry->stage == request_stage::aborted;
   if (!entry->answered && !aborted) ++counters_.deadline_exceeded;
-  const answer final_answer{
-      .status = response_status::failed, .retry_after = decision.retry_after, .deadline_exceeded = !aborted};
+  // The result that a reader waits for was not read in time, so it cannot tell how the run ended.
+  const answer final_answer{.status = response_status::failed,
+                            .retry_after = decision.retry_after,
+                            .deadline_exceeded = !aborted,
+                            .outcome_unknown = entry->role == request_role::stored_result_reader};
   if (entry->role == request_role::primary) {
     coalescer_.fail_primary(*entry, final_answer);
     return;
--- a/src/core/duplicate_coalescer.cpp
+++ b/src/core/duplicate_coalescer.cpp
@@ -18,6 +18,17 @@
 constexpr answer answer_run_failed{.status = response_status::failed};
 constexpr answer answer_retry_soon{.status = response_status::rejected, .retry_after = default_retry_after};
 
+answer answer_of(const fetched_result& fetched) {
+  switch (fetched.outcome) {
+    case fetch_outcome::succeeded: return {.status = response_status::served, .result = fetched.bytes};
+    case fetch_outcome::outcome_unknown: return answer_outcome_unknown;
+    case fetch_outcome::never_ran: return answer_retry_soon;
+    case fetch_outcome::run_failed:
+    case fetch_outcome::unreadable: break;
+  }
+  return answer_run_failed;
+}
+
 }  // namespace
 
 duplicate_coalescer::duplicate_coalescer(request_table& requests, admission& policy,
@@ -205,10 +216,7 @@
 void duplicate_coalescer::on_result_fetched(request_id id, const fetched_result& fetched) {
   request_entry* entry = requests_.find(id);
   if (entry == nullptr || entry->role != request_role::stored_result_reader) return;
-  answer final_answer = answer_run_failed;
-  if (fetched.outcome == fetch_outcome::succeeded)
-    final_answer = {.status = response_status::served, .result = fetched.bytes};
-  requests_.respond(*entry, final_answer);
+  requests_.respond(*entry, answer_of(fetched));
   admission_.report(completed{id, run_end::succeeded, {}});
   requests_.remove(id);
 }
--- a/src/core/idempotency_store.hpp
+++ b/src/core/idempotency_store.hpp
@@ -41,14 +41,16 @@
   virtual void close_primary(request_id primary) = 0;
 
   // Reads the stored result for a request whose status is `completed`; on_result_fetched() follows, unless
-  // the request's claim expires first.
+  // the request's claim expires first. If another process runs the key, it follows the end of that run.
   virtual void fetch_result(request_id id) = 0;
 };
 
 enum class fetch_outcome {
   succeeded,
-  run_failed,  // the stored record says that the run failed
-  unreadable,  // the stored result could not be read
+  run_failed,       // the stored record says that the run failed
+  unreadable,       // the stored result could not be read
+  outcome_unknown,  // the request may have run in another process, which will not report the outcome
+  never_ran,        // proven not to have run in another process
 };
 
 struct fetched_result {
--- a/src/idempotency/key_table_service.hpp
+++ b/src/idempotency/key_table_service.hpp
@@ -39,6 +39,9 @@
                       std::chrono::nanoseconds window, aging_time now);
   static claim_result to_result(const key_claim& claim);
 
+  // Counts what became of a request with a key.
+  void count(claim_status status);
+
   // The key of a primary. Throws std::out_of_range if it is closed or not a primary.
   const claimed_key& primary_key(request_id primary) const { return primaries_.at(primary); }
   bool is_primary(request_id id) const { return primaries_.contains(id); }
@@ -52,8 +55,6 @@
   key_table table_;
 
  private:
-  void count(claim_status status);
-
   idempotency_observer* observer_ = nullptr;
   std::unordered_map<request_id, claimed_key> primaries_;
   time_point next_expiry_{};
--- a/src/idempotency/memory_service.hpp
+++ b/src/idempotency/memory_service.hpp
@@ -1,5 +1,6 @@
 // Stores the results of keyed requests in memory until their idempotency window has passed, for a node whose
-// settings have keyed classes but whose operator's file has no folder. A restart loses the results.
+// settings have keyed classes but whose operator's file has no folder. With `shared_keys`, the processes of a
+// node that replace one another know each other's keys and results; without, a restart loses them.
 //
 // Here the fingerprint of a request is part of its key. Only the backend can authenticate a client, so a
 // request with the same key and other content is neither a duplicate nor a conflict: both requests run.
@@ -10,11 +11,13 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "idempotency/key_table_service.hpp"
+#include "idempotency/shared_keys.hpp"
 
 namespace marblewharf::idempotency {
 
@@ -26,24 +29,29 @@
   std::size_t largest_result = 4096;  // bytes
   // Maximum number of open keys. A key is open from the arrival of its request to the result.
   std::size_t max_open_keys = 1024;
-  std::uint64_t salt = 0;  // random, so that clients cannot choose keys that collide
+  // Random, so that clients cannot choose keys that collide. The same in all processes that share keys.
+  std::uint64_t salt = 0;
+  // Names by index, as the indices may differ between processes with different settings.
+  std::vector<std::string> classes{}, tenants{};
 };
 
 class memory_service : public key_table_service {
  public:
-  memory_service(memory_service_options options, telemetry::counters& counters);
+  // `shared`: null if this process shares its keys with no other. `now`: until the first step().
+  memory_service(memory_service_options options, telemetry::counters& counters,
+                 std::unique_ptr<shared_keys> shared = nullptr, time_point now = {});
 
-  // Sends the pending replies and removes expired keys and results.
+  // Publishes events to the other processes, sends the pending replies and removes expired keys and results.
   void step(time_point now);
-  // Whether replies are pending, so that step() should be called at once.
-  bool has_pending_replies() const {
-    return !written_intents_.empty() || !recorded_results_.empty() || !requested_results_.empty();
-  }
+  // When step() has to be called next: at once if replies are pending, at intervals while another process
+  // is waited for; time_point::max() if there is nothing to do.
+  time_point due() const;
 
   // ---- idempotency_store ----------------------------------------------------------------------------------
   claim_result claim(request_id id, const request& claimant) override;
   void write_intent(request_id primary, const request& claimant) override;
   bool record_result(request_id primary, bool succeeded, std::string_view result) override;
+  void mark_outcome_unknown(request_id primary) override;
   void release_key(request_id primary) override;
   duration schedule_inquiry_retry(request_id) override { return {}; }
   void fetch_result(request_id id) override { requested_results_.push_back(id); }
@@ -64,7 +72,9 @@
   struct result_reader {
     key_id key;
     time_point arrived{};
+    bool run_by_peer = false;  // another process has run the key
   };
+  enum class reply_status { sent, awaits_peer };
 
   static std::size_t size_of(const stored_result& result);
   // Keys that expired before this time can be removed: every request that arrived before their expiry has
@@ -72,10 +82,18 @@
   aging_time expiry_horizon() const { return (now_ - options_.longest_wait).count(); }
   void publish_free_memory();
   void remove_expired();
-  void reply_to_reader(request_id id);
+  key_id key_of(const request& claimant) const;
+  claim_result claim_peer_run(request_id id, const key_id& key, const request& claimant,
+                              peer_run_state state);
+  void share(request_id primary, const key_event& event);
+  void reply_to_intents();
+  void reply_to_readers();
+  reply_status reply_to_reader(request_id id);
+  reply_status reply_from_peer(request_id id, const key_id& key);
 
   memory_service_options options_;
-  time_point now_{};
+  const std::unique_ptr<shared_keys> shared_;  // null if this process shares its keys with no other
+  time_point now_;
   // Requests that will fetch a result, unless their client cancels.
   std::unordered_map<request_id, result_reader> readers_;
   std::unordered_map<key_id, stored_result, key_id_hash> results_;
@@ -85,6 +103,7 @@
   std::vector<request_id> written_intents_;
   std::vector<request_id> recorded_results_;
   std::vector<request_id> requested_results_;
+  std::vector<request_id> readers_awaiting_peer_;  // the key's run in another process has not ended
 };
 
 }  // namespace marblewharf::idempotency
--- a/src/lifecycle/hot_restart.cpp
+++ b/src/lifecycle/hot_restart.cpp
@@ -17,6 +17,12 @@
   return number;
 }
 
+std::string path_prefix(const std::string& folder, const std::string& node_name,
+                        const std::string& listen_host, std::uint16_t listen_port) {
+  return (folder.empty() ? "." : folder) + "/marblewharf-" + node_name + "-" + listen_host + "-" +
+         std::to_string(listen_port);
+}
+
 }  // namespace
 
 std::string format_mark(const hot_restart_mark& mark) {
@@ -44,9 +50,12 @@
 
 std::string mark_path(const std::string& folder, const std::string& node_name, const std::string& listen_host,
                       std::uint16_t listen_port) {
-  const std::string file_name =
-      "marblewharf-" + node_name + "-" + listen_host + "-" + std::to_string(listen_port) + ".ready";
-  return (folder.empty() ? "." : folder) + "/" + file_name;
+  return path_prefix(folder, node_name, listen_host, listen_port) + ".ready";
+}
+
+std::string shared_keys_path(const std::string& folder, const std::string& node_name,
+                             const std::string& listen_host, std::uint16_t listen_port) {
+  return path_prefix(folder, node_name, listen_host, listen_port) + ".keys";
 }
 
 }  // namespace marblewharf::lifecycle
--- a/src/lifecycle/hot_restart.hpp
+++ b/src/lifecycle/hot_restart.hpp
@@ -34,4 +34,9 @@
 std::string mark_path(const std::string& folder, const std::string& node_name, const std::string& listen_host,
                       std::uint16_t listen_port);
 
+// The path of the folder in which the processes of a node share their idempotency keys
+// (store/shared_log.hpp). It contains the same names as the path of the mark.
+std::string shared_keys_path(const std::string& folder, const std::string& node_name,
+                             const std::string& listen_host, std::uint16_t listen_port);
+
 }  // namespace marblewharf::lifecycle
--- a/src/server/hot_restart_file.cpp
+++ b/src/server/hot_restart_file.cpp
@@ -6,23 +6,18 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <sstream>
 #include <utility>
 
 #include "net/reactor.hpp"
+#include "server/temporary_folder.hpp"
 #include "telemetry/telemetry.hpp"
 
 namespace marblewharf::server {
 namespace {
 
-std::string temporary_folder() {
-  const char* folder = std::getenv("TMPDIR");
-  return folder != nullptr && *folder != '\0' ? folder : "/tmp";
-}
-
 // False only if no such process exists. A process that this process is not permitted to signal is alive.
 bool is_alive(std::uint64_t process_id) {
   return ::kill(static_cast<pid_t>(process_id), 0) == 0 || errno != ESRCH;
--- a/src/server/price_node.cpp
+++ b/src/server/price_node.cpp
@@ -4,7 +4,6 @@
 #include <string>
 #include <utility>
 
-#include "server/memory_idempotency.hpp"
 #include "server/random_seed.hpp"
 #include "server/reload.hpp"
 #include "server/signals.hpp"
@@ -62,7 +61,8 @@
       shutdown_(settings.bounds, {.requests = dispatcher_,
                                   .thrift_server = thrift_server_,
                                   .uwsgi_server = uwsgi_server_,
-                                  .durable = durable_idempotency_.get()}) {
+                                  .durable = durable_idempotency_.get(),
+                                  .memory = memory_idempotency_.get()}) {
   // The observer sees all traffic, because connections are accepted only in run().
   reactor_.set_traffic_observer(traffic_observer);
   thrift_server_.set_health_check([this] { return operator_drain_.healthy(dispatcher_.healthy()); });
@@ -157,9 +157,9 @@
   step_background_jobs(now, gauges);
   if (shutdown_.started() && shutdown_.step(now)) reactor_.stop();
   const time_point connections_due = step_connections(now);
-  if (dispatcher_.due() < now || (memory_idempotency_ && memory_idempotency_->has_pending_replies()))
-    return now;
-  return std::min({connections_due, cluster_due, quota_due});
+  const time_point keys_due = memory_idempotency_ ? memory_idempotency_->due() : time_point::max();
+  if (dispatcher_.due() < now || keys_due < now) return now;
+  return std::min({connections_due, cluster_due, quota_due, keys_due});
 }
 
 void price_node::handle_signals(time_point now) {
--- a/src/server/price_node.hpp
+++ b/src/server/price_node.hpp
@@ -14,7 +14,6 @@
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
 #include "fan_out/client.hpp"
-#include "idempotency/memory_service.hpp"
 #include "lifecycle/operator_drain.hpp"
 #include "net/event_loop_wakeup.hpp"
 #include "net/reactor.hpp"
@@ -24,6 +23,7 @@
 #include "server/background_jobs.hpp"
 #include "server/durable_idempotency.hpp"
 #include "server/hot_restart_file.hpp"
+#include "server/memory_idempotency.hpp"
 #include "server/node_admin_handler.hpp"
 #include "server/shutdown_sequence.hpp"
 #include "store/file_system.hpp"
@@ -81,7 +81,7 @@
   std::unique_ptr<net::event_loop_wakeup> wakeup_;  // null if no component has threads of its own
   const std::shared_ptr<store::posix_file_system> file_system_;
   const std::unique_ptr<durable_idempotency> durable_idempotency_;
-  const std::unique_ptr<idempotency::memory_service> memory_idempotency_;
+  const std::unique_ptr<memory_idempotency> memory_idempotency_;
   runtime::link runtime_link_;
   registry::registry_client registry_client_;
   thrift::server thrift_server_;
--- a/src/server/shutdown_sequence.cpp
+++ b/src/server/shutdown_sequence.cpp
@@ -38,6 +38,7 @@
 // make its outcome unknown.
 bool shutdown_sequence::all_closed() const {
   if (targets_.durable != nullptr && targets_.durable->open_requests() > 0) return false;
+  if (targets_.memory != nullptr && targets_.memory->open_requests() > 0) return false;
   return targets_.thrift_server.empty() && (!targets_.uwsgi_server || targets_.uwsgi_server->empty());
 }
 
--- a/src/server/shutdown_sequence.hpp
+++ b/src/server/shutdown_sequence.hpp
@@ -8,6 +8,7 @@
 #include "core/dispatcher.hpp"
 #include "lifecycle/graceful_shutdown.hpp"
 #include "server/durable_idempotency.hpp"
+#include "server/memory_idempotency.hpp"
 #include "thrift/front.hpp"
 #include "uwsgi/front.hpp"
 
@@ -19,6 +20,7 @@
   thrift::server& thrift_server;
   std::optional<uwsgi::server>& uwsgi_server;  // empty if the settings configure no uwsgi front
   const durable_idempotency* durable;          // null if results are not stored on disk
+  const memory_idempotency* memory;            // null if results are not stored in memory
 };
 
 // Owned by the reactor's thread.
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -93,15 +93,15 @@
       totals.invalid_frames, totals.health_checks, totals.silent_connections, totals.evicted_connections,
       totals.rejected_connections, totals.lost_runtime_connections, totals.rejected_runtime_commands,
       totals.console_commands, totals.console_errors);
-  if (totals.stored_bytes == 0 && totals.stored_keys == 0)
+  if (totals.stored_bytes == 0 && totals.stored_keys == 0 && totals.peer_keys == 0)
     return;  // the idempotency store is empty or not in use
   log("counters",
       "repeats_answered=%" PRIu64 " repeats_joined=%" PRIu64 " repeats_in_doubt=%" PRIu64
       " key_conflicts=%" PRIu64 " no_room=%" PRIu64 " results_known=%" PRIu64 " results_in_doubt=%" PRIu64
-      " results_bytes=%" PRIu64 " results_commits=%" PRIu64,
+      " results_bytes=%" PRIu64 " results_commits=%" PRIu64 " results_of_peers=%" PRIu64,
       totals.answered_duplicates, totals.coalesced_duplicates, totals.duplicates_of_unknown_outcome,
       totals.key_conflicts, totals.rejected_for_key_capacity, totals.stored_keys,
-      totals.keys_with_unknown_outcome, totals.stored_bytes, totals.store_commits);
+      totals.keys_with_unknown_outcome, totals.stored_bytes, totals.store_commits, totals.peer_keys);
 }
 
 }  // namespace marblewharf::telemetry
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -45,6 +45,7 @@
   // Current state of the idempotency store: keys in the table, keys whose outcome is unknown, bytes that
   // results occupy, and commits to disk since the start.
   std::uint64_t stored_keys = 0, keys_with_unknown_outcome = 0, stored_bytes = 0, store_commits = 0;
+  std::uint64_t peer_keys = 0;  // currently known keys that other processes of this node have run
   // Answers by request class, in the order of the settings. The dispatcher sets the size.
   std::vector<std::uint64_t> served_by_class, rejected_by_class, failed_by_class;
   // The operators' console.
--- a/tests/idempotency/memory_service_test.cpp
+++ b/tests/idempotency/memory_service_test.cpp
@@ -35,7 +35,9 @@
                  .longest_wait = 4s,
                  .memory = memory,
                  .largest_result = 4096,
-                 .max_open_keys = 8},
+                 .max_open_keys = 8,
+                 .classes = {"read", "write"},
+                 .tenants = {"tenant"}},
                 counters) {
     service.set_observer(observer);
   }
--- a/tests/net/console_client.hpp
+++ b/tests/net/console_client.hpp
@@ -26,4 +26,15 @@
   }
 }
 
+inline std::string first_line(const std::string& answer) {
+  return answer.substr(0, answer.find('\n'));
+}
+
+// Waits until the console reports that the node is ready for clients.
+inline void wait_ready(int console_port) {
+  wait_console(console_port);
+  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
+  while (first_line(call(console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
+}
+
 }  // namespace harness
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -20,6 +20,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <mutex>
@@ -298,8 +299,9 @@
   std::string edit_from{}, edit_to{};  // replaces the first occurrence in the text of the configuration
   int directory_port = 0;              // 0: the same as the node's port
   int listen_port = 0;                 // 0: a free port; else a port that another node may listen on
-  std::string tmpdir{};                // $TMPDIR of the process; empty: inherited from the test
-  int console_port = 0;                // 0: no console
+  // $TMPDIR of the process. Empty: a folder of its own, or inherited from the test if `listen_port` is set.
+  std::string tmpdir{};
+  int console_port = 0;                        // 0: no console
   std::string program = program_under_test();  // a benchmark may compare two programs
   int descriptors = 0;                         // RLIMIT_NOFILE of the process; 0: inherited from the test
   // The node blocks while it reads its configuration: see wait_for_config_read(), release_config().
@@ -332,9 +334,11 @@
     for (std::string& argument : argument_texts) arguments.push_back(argument.data());
     arguments.push_back(nullptr);
     std::string config_variable = "PROXY_CONFIG=" + dir_ + "/config.json";
-    std::string tmpdir_variable = "TMPDIR=" + options.tmpdir;
+    const bool own_tmpdir = options.tmpdir.empty() && options.listen_port == 0;
+    if (own_tmpdir) CHECK(::mkdir((dir_ + "/tmp").c_str(), 0700) == 0);
+    std::string tmpdir_variable = "TMPDIR=" + (own_tmpdir ? dir_ + "/tmp" : options.tmpdir);
     std::vector<char*> environment = {config_variable.data()};
-    if (!options.tmpdir.empty())
+    if (own_tmpdir || !options.tmpdir.empty())
       environment.push_back(tmpdir_variable.data());  // the first entry of a name takes effect
     for (char** variable = environ; *variable != nullptr; ++variable) environment.push_back(*variable);
     environment.push_back(nullptr);
@@ -357,8 +361,8 @@
       ::kill(pid_, SIGKILL);
       ::waitpid(pid_, nullptr, 0);
     }
-    for (const char* file : {"/config.json", "/operators.conf", "/log"}) ::unlink((dir_ + file).c_str());
-    ::rmdir(dir_.c_str());
+    std::error_code ignored;
+    std::filesystem::remove_all(dir_, ignored);
   }
   // Replaces the configuration file atomically.
   void write_config(const runtime& peer, const node_options& options) const {
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,11 +1,11 @@
 // The operators' console, its statistics, the operator drain and hot restart, against the real program on
 // loopback (ctest -L ops).
-#include <filesystem>
 #include <map>
 #include <string>
 
 #include "console_client.hpp"
 #include "harness.hpp"
+#include "shared_folder.hpp"
 
 using namespace harness;
 
@@ -26,10 +26,6 @@
   node price_node;
 };
 
-std::string first_line(const std::string& answer) {
-  return answer.substr(0, answer.find('\n'));
-}
-
 // The statistics that the console answers to show-stat, by name.
 std::map<std::string, long> statistics(int port) {
   const std::string text = call(port, "show-stat\n");
@@ -58,29 +54,6 @@
   return r.rest.find(good_health) != std::string::npos;
 }
 
-// Waits until the console reports that the node is ready for clients.
-void wait_ready(int console_port) {
-  wait_console(console_port);
-  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
-  while (first_line(call(console_port, "ready\n")) != "200 yes") CHECK(clock::now() < until);
-}
-
-// A $TMPDIR that two processes share; it is removed at the end of the test.
-struct shared_folder {
-  shared_folder() {
-    char name[] = "/tmp/marblewharf-handover-XXXXXX";
-    CHECK(::mkdtemp(name) != nullptr);
-    path = name;
-  }
-  ~shared_folder() { std::filesystem::remove_all(path); }
-  // An operator's file that stores the results of keyed requests in this folder.
-  std::string keyed_operators() const {
-    return "class kurs-meldung {\n keyed = yes\n window = 10m\n}\nkeyed {\n folder = \"" + path +
-           "/results\"\n thrift_field = key\n}\n";
-  }
-  std::string path;
-};
-
 // Checks that for 300 ms the node sends the runtime nothing but `gauges` queries, and therefore no start.
 void expect_no_start(runtime& r) {
   const auto quiet_until = clock::now() + 300ms;
--- a/tests/net/races_test.cpp
+++ b/tests/net/races_test.cpp
@@ -6,6 +6,8 @@
 
 #include "console_client.hpp"
 #include "harness.hpp"
+#include "keyed_writes.hpp"
+#include "shared_folder.hpp"
 
 using namespace harness;
 
@@ -673,28 +675,6 @@
 
 // ---- Duplicates in a request class that the settings of the platform declare as keyed ---------------------
 
-// Options of a node whose write class is keyed, with that duplicate window.
-node_options keyed_writes(int window_ms) {
-  return {.edit_from = "\"Effect\":\"unsafe\"",
-          .edit_to = "\"Effect\":\"keyed\",\"Window\":" + std::to_string(window_ms) + "000000"};
-}
-
-// An attempt of the write with the idempotency key `key`, which arrived `ms_ago` before now.
-std::string keyed_attempt(int seqid, const std::string& key, int ms_ago = 0) {
-  static int attempts = 0;
-  fields f = usual(++attempts, "kurs-meldung", -ms_ago);
-  f.emplace_back("unique", key);
-  return execute(seqid, f, "price");
-}
-
-// Checks for 200 ms that the node sends no command but `gauges` queries.
-void expect_no_start(runtime& stub) {
-  const auto quiet_until = clock::now() + 200ms;
-  while (clock::now() < quiet_until) {
-    if (stub.link.readable(20)) CHECK(stub.answer_gauges(stub.link.line()));
-  }
-}
-
 // Duplicates arrive while the first attempt waits for the runtime, while it runs, when it has just ended,
 // later, and after a failure. All attempts with one key must share one run and its outcome, and each must
 // get its own answer.
@@ -834,13 +814,15 @@
   CHECK(result(read_reply(owner)) == "a" && result(read_reply(owner)) == "b");
 }
 
-// Idempotency keys are kept in memory, so a restart discards them. A duplicate runs again in the new
-// process, as the protocol allows.
+// Idempotency keys are kept in memory and in $TMPDIR, which is empty at a start that is no replacement, so a
+// restart discards them. A duplicate runs again in the new process, as the protocol allows.
 void duplicate_after_a_restart_runs_again() {
   runtime first_runtime, second_runtime;
   const int port = free_port();
+  const shared_folder first_folder, second_folder;
   node_options o = keyed_writes(60000);
   o.listen_port = port;
+  o.tmpdir = first_folder.path;
   {
     node first(first_runtime, o);
     first_runtime.up();
@@ -848,6 +830,7 @@
     c.send(keyed_attempt(1, "a"));
     first_runtime.expect("start");
   }  // SIGKILL
+  o.tmpdir = second_folder.path;
   node second(second_runtime, o);
   second_runtime.up();
   connection c = connection::to(port);
