Leave a run's outcome unknown until the runtime's events prove it

Cause: runtime/link.cpp, mark_delivered(). After a reconnect the link stops each run whose start was in flight; that no end followed the stop was read as proof that the run never started. A stop has no effect while the cores stand still. With a stop wanted the key was freed; without one the start was sent again, also for classes that must not run twice; and while the link moved to another address the run went back to "not sent", from which more was concluded. Checked and ruled out: the coalescer, which had marked the outcome unknown, and the policy, which knows of such stops.

Change: start_progress has a state `unconfirmed`, which only an event leaves. Silence after a stop starts a run again only if its effect is safe; others wait for an event, and are reported lost once a stop is wanted.

--- a/src/runtime/command_sequence.cpp
+++ b/src/runtime/command_sequence.cpp
@@ -21,6 +21,7 @@
 
 void command_sequence::start(tracked_run& run) {
   run.start = start_progress::sent;
+  run.restart_wanted = false;
   run.fence = queries_.next_number();
   send(start_command{run.label, classes_[run.request_class].name, run.payload});
 }
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -64,9 +64,12 @@
   tracked.stop_wanted = stop;
   if (stop && tracked.start == start_progress::not_sent) {
     finish(position, run_end::never_started, {}, {});
-  } else if (state_ == state::up && !tracked.probing) {
-    commands_.stop_or_continue(tracked);
+    return;
   }
+  // A stop that is repeated before it is delivered would put off its delivery.
+  const bool stop_in_flight = tracked.start == start_progress::unconfirmed && stop && tracked.stop_sent &&
+                              !tracked.last_command_delivered;
+  if (state_ == state::up && !tracked.probing && !stop_in_flight) commands_.stop_or_continue(tracked);
 }
 
 // The conflicting request was never sent to the runtime, so it ends as unknown.
@@ -115,7 +118,8 @@
   state_ = state::up;
   for (auto& [label, run] : runs_) {
     if (state_ != state::up) return;
-    if (run.start == start_progress::not_sent) {
+    const bool restarts = run.restart_wanted && !run.stop_wanted;
+    if (run.start == start_progress::not_sent || restarts) {
       commands_.start(run);
     } else if (run.stop_wanted != run.stop_sent && !run.probing) {
       commands_.stop_or_continue(run);
@@ -285,14 +289,9 @@
 void link::mark_delivered(run_table::iterator position) {
   tracked_run& run = position->second;
   run.last_command_delivered = true;
-  if (std::exchange(run.probing, false)) {  // no end was reported for the stop: the run never started
-    if (run.stop_wanted) {
-      finish(position, run_end::never_started, {}, {});
-    } else if (state_ == state::up) {
-      commands_.start(run);
-    } else {
-      run.start = start_progress::not_sent;
-    }
+  run.probing = false;
+  if (run.start == start_progress::unconfirmed) {
+    on_stop_without_effect(position);
     return;
   }
   if (run.start != start_progress::sent) return;
@@ -302,6 +301,23 @@
     reject_conflicting_request(run, run.conflicting_requests.back().id);
 }
 
+void link::on_stop_without_effect(run_table::iterator position) {
+  tracked_run& run = position->second;
+  switch (action_after_silence(run, may_run_twice(run))) {
+    case unconfirmed_action::start_again:
+      run.restart_wanted = true;
+      if (state_ == state::up) commands_.start(run);
+      return;
+    case unconfirmed_action::wait_for_event: return;
+    case unconfirmed_action::report_lost: finish(position, run_end::lost, {}, {}); return;
+  }
+}
+
+bool link::may_run_twice(const tracked_run& run) const {
+  const auto effect = config_.policy_settings.classes[run.request_class].effect;
+  return effect == admission_policy::request_effect::safe;
+}
+
 // Called when all run ends up to now are known. If the connection is lost during the recovery, the recovery
 // after the next reconnect handles the remaining runs.
 void link::finish_catching_up() {
@@ -323,22 +339,27 @@
   std::vector<std::string> lost_labels;
   for (auto& [label, run] : runs_) {
     if (state_ != state::up) return lost_labels;
-    const auto effect = config_.policy_settings.classes[run.request_class].effect;
-    const bool may_run_twice = effect == admission_policy::request_effect::safe;
-    const recovery action = recovery_action_for(run, stops_pause, may_run_twice);
+    const recovery action = recovery_action_for(run, stops_pause, may_run_twice(run));
+    if (run.start == start_progress::sent) mark_unconfirmed(run);
     if (action == recovery::report_lost) lost_labels.push_back(label);
     recover(run, action);
   }
   return lost_labels;
 }
 
+void link::mark_unconfirmed(tracked_run& run) {
+  run.start = start_progress::unconfirmed;
+  ++counters_.unconfirmed_starts;
+  log("runtime", "the start of %s is unconfirmed: the connection was lost behind it", run.label.c_str());
+}
+
 void link::recover(tracked_run& run, recovery action) {
   switch (action) {
     case recovery::none:
     case recovery::report_lost: return;
     case recovery::probe: commands_.probe(run); return;
     case recovery::restart:
-      run.start = start_progress::not_sent;  // sent with the deferred commands
+      run.restart_wanted = true;  // sent with the deferred commands
       return;
     case recovery::repeat_stop: commands_.stop_or_continue(run); return;
   }
--- a/src/runtime/link.hpp
+++ b/src/runtime/link.hpp
@@ -4,7 +4,8 @@
 // A lost connection loses commands but not runs. The answer to a gauge query confirms that all commands sent
 // before the query have arrived (runtime/gauge_queries.hpp). After a reconnect the runtime first repeats its
 // notices. The link then sends a gauge query; its answer shows that all run ends up to that point are known.
-// Only then does the link recover the runs whose commands were in flight when the connection was lost
+// Only then does the link recover the runs whose commands were in flight when the connection was lost. A run
+// whose start was in flight may or may not have started, until an event of the runtime proves which
 // (runtime/tracked_run.hpp).
 //
 // A move of the runtime to another address loses no commands: the link defers new commands, waits for the
@@ -97,8 +98,11 @@
   // Marks the commands sent before a query as delivered.
   void on_delivered(std::uint64_t query);
   void mark_delivered(run_table::iterator position);
+  void on_stop_without_effect(run_table::iterator position);
+  bool may_run_twice(const tracked_run& run) const;
   void finish_catching_up();
   std::vector<std::string> recover_runs();
+  void mark_unconfirmed(tracked_run& run);
   void recover(tracked_run& run, recovery action);
   void lose_all_runs();
   void reject_conflicting_request(tracked_run& run, request_id id);
--- a/src/runtime/tracked_run.cpp
+++ b/src/runtime/tracked_run.cpp
@@ -7,10 +7,16 @@
     case start_progress::not_sent: return recovery::none;
     case start_progress::delivered:
       return run.last_command_delivered ? recovery::none : recovery::repeat_stop;
-    case start_progress::sent: break;
+    case start_progress::sent:
+    case start_progress::unconfirmed: break;
   }
   if (stops_pause) return recovery::probe;
   return may_run_twice && !run.stop_wanted ? recovery::restart : recovery::report_lost;
 }
 
+unconfirmed_action action_after_silence(const tracked_run& run, bool may_run_twice) {
+  if (run.stop_wanted) return unconfirmed_action::report_lost;
+  return may_run_twice ? unconfirmed_action::start_again : unconfirmed_action::wait_for_event;
+}
+
 }  // namespace marblewharf::runtime
--- a/src/runtime/tracked_run.hpp
+++ b/src/runtime/tracked_run.hpp
@@ -11,8 +11,15 @@
 
 namespace marblewharf::runtime {
 
-// Delivery state of a run's start command.
-enum class start_progress { not_sent, sent, delivered };
+// What is known of the delivery of a run's start command. Only an event proves how a run stands: the start
+// was never sent, or the runtime has confirmed its delivery, reported the end of the run, or rejected it.
+// That the runtime reports nothing proves nothing.
+enum class start_progress {
+  not_sent,     // never sent: the run has not started
+  sent,         // sent on the connection that is in use
+  unconfirmed,  // sent on a connection that was lost: it may or may not have arrived
+  delivered,    // the runtime has confirmed that it arrived
+};
 
 // A request whose label is already used by another open request.
 struct conflicting_request {
@@ -33,6 +40,7 @@
   bool last_command_delivered = true;  // whether the last stop or continue has arrived
   // A stop was sent only to find out whether the start arrived before the connection was lost.
   bool probing = false;
+  bool restart_wanted = false;  // an unconfirmed start is to be sent again once the link is up
   std::vector<conflicting_request> conflicting_requests;  // kept until the start of this run is delivered
 };
 
@@ -42,7 +50,7 @@
 // ends before the reconnect are known.
 enum class recovery {
   none,         // all commands have arrived, or none was sent
-  probe,        // send a stop; then continue the run if it was paused, or start it if it never started
+  probe,        // send a stop: if it pauses the run, the start has arrived, and the run is continued
   restart,      // send the start again: the run may execute twice, which its effect allows
   report_lost,  // the run may have started and must not execute twice: stop it and report it lost
   repeat_stop,  // send the last stop or continue again
@@ -55,4 +63,13 @@
 // this moment, and a second start would execute it again.
 recovery recovery_action_for(const tracked_run& run, bool stops_pause, bool may_run_twice);
 
+// What to do if the runtime has executed a stop of a run with an unconfirmed start and has reported nothing.
+// Either the run never started, or the stop had no effect, because the cores stand still.
+enum class unconfirmed_action {
+  start_again,     // the run may execute twice, which its effect allows
+  wait_for_event,  // the run may still end in time
+  report_lost,     // nobody waits for the run any longer, and its end may never be reported
+};
+unconfirmed_action action_after_silence(const tracked_run& run, bool may_run_twice);
+
 }  // namespace marblewharf::runtime
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -35,6 +35,7 @@
   std::uint64_t rejected_connections = 0;       // connections rejected because all others were in use
   std::uint64_t lost_runtime_connections = 0;   // connections to the runtime that were lost
   std::uint64_t rejected_runtime_commands = 0;  // commands that the runtime rejected
+  std::uint64_t unconfirmed_starts = 0;         // starts that a lost connection may have lost
   // Idempotency.
   std::uint64_t answered_duplicates = 0;   // duplicates answered with the stored result
   std::uint64_t coalesced_duplicates = 0;  // duplicates coalesced with a primary that was queued or running
--- a/tests/net/races_test.cpp
+++ b/tests/net/races_test.cpp
@@ -779,6 +779,71 @@
   expect_no_start(r);
 }
 
+// Answers `gauges` queries and gives the node's stops no effect, until the client gets an answer. The node
+// must not start a run meanwhile.
+reply answer_without_start(runtime& r, connection& client) {
+  while (!client.readable(0)) {
+    if (!r.link.readable(20)) continue;
+    const std::string line = r.link.line();
+    if (!r.answer_gauges(line)) CHECK(member(line, "msg") == "stop");
+  }
+  return read_reply(client);
+}
+
+// The link breaks behind the start of a keyed write while the cores stand still, so that stops have no
+// effect. Guards against a run that is taken as never started because its stop is answered with silence: its
+// duplicate would run beside it.
+void duplicate_of_a_run_that_cannot_be_stopped() {
+  runtime r;
+  node_options options = keyed_writes(60000);
+  options.write_aim_ms = 400;
+  node n(r, options);
+  r.up();
+  connection c = connection::to(n.port);
+  c.send(keyed_attempt(1, "a"));
+  const std::string run = r.expect("start");
+  r.link.close();
+  r.up();
+  const auto expect_outcome_unknown = [&] {
+    const reply answer = answer_without_start(r, c);
+    CHECK(answer.kind == "failed" && answer.rest.find("unknown") != std::string::npos);
+  };
+  c.send(keyed_attempt(2, "a"));
+  expect_outcome_unknown();
+  expect_outcome_unknown();
+  c.send(keyed_attempt(3, "a"));
+  expect_outcome_unknown();
+  r.end(run, "fine", "YQ==");  // the cores move again
+  c.send(keyed_attempt(4, "a"));
+  expect_outcome_unknown();
+  c.close();
+  n.signal(SIGTERM);
+  CHECK(n.wait() == 0);
+  n.logged("price node stops with 0 open requests");
+}
+
+// As above, but the run ends in time. Guards against a run whose start is unconfirmed and that is given up
+// although its end may still come.
+void duplicate_of_a_run_with_an_unconfirmed_start() {
+  runtime r;
+  node n(r, keyed_writes(60000));
+  r.up();
+  connection c = connection::to(n.port);
+  c.send(keyed_attempt(1, "a"));
+  const std::string run = r.expect("start");
+  r.link.close();
+  r.up();
+  CHECK(r.expect("stop") == run);
+  c.send(keyed_attempt(2, "a"));
+  expect_no_start(r);
+  r.link.close();  // once more
+  r.up();
+  CHECK(r.expect("stop") == run);
+  expect_no_start(r);
+  r.end(run, "fine", "YQ==");
+  for (int i = 1; i <= 2; ++i) CHECK(result(read_reply(c)) == "a");
+}
+
 // Another client sends the owner's idempotency key with a different body, once after the owner's run and
 // once before it. Guards against a result that goes to that client, and against a failure of the owner's
 // request. The runtime rejects the forged calls, because it knows which calls are genuine.
@@ -872,6 +937,8 @@
       {"duplicates_window", duplicates_around_the_end_of_the_window},
       {"duplicates_cancelled", duplicates_of_cancelled_attempts},
       {"duplicates_link", duplicate_across_a_lost_link},
+      {"unstoppable_run", duplicate_of_a_run_that_cannot_be_stopped},
+      {"unconfirmed_start", duplicate_of_a_run_with_an_unconfirmed_start},
       {"foreign_key", foreign_key_fails_only_its_sender},
       {"duplicates_restart", duplicate_after_a_restart_runs_again},
   };
