Ask all uwsgi servers before a write counts as never run

Cause: uwsgi/client.cpp, inquire(). It asked one server, the least loaded, and read its 404 as "never ran"; the write had gone to the other one. Which server a write went to is not recorded. Beside it a read that may have run at its first server ended as never started if no other could be reached.

Change: an inquiry goes to all servers in turn. A 2xx is the result; the key is released only if every server answers 404; everything else leaves the outcome unknown. A request of which a byte may have arrived ends as lost.

--- a/src/uwsgi/client.cpp
+++ b/src/uwsgi/client.cpp
@@ -8,6 +8,16 @@
 
 using telemetry::log;
 
+namespace {
+
+// Response statuses of HTTP.
+constexpr unsigned first_success_status = 200;
+constexpr unsigned last_success_status = 299;
+constexpr unsigned not_found_status = 404;
+constexpr unsigned first_server_error_status = 500;
+
+}  // namespace
+
 struct client::attempt {
   attempt(request_id number, std::string bytes, bool safe, bool is_inquiry)
       : id(number), payload(std::move(bytes)), repeatable(safe), inquiry(is_inquiry) {}
@@ -20,7 +30,8 @@
   std::shared_ptr<exchange> current_exchange;
   std::size_t server = 0;
   unsigned servers_tried = 0;
-  bool repeated = false;  // was sent again although it may have arrived
+  unsigned servers_without_request = 0;  // inquiry: servers that never saw the request
+  bool may_have_arrived = false;         // a byte of it may have arrived at a server
 };
 
 client::client(net::reactor& reactor, const config& settings, dispatcher& requests)
@@ -84,7 +95,17 @@
       log("uwsgi-server", "cannot connect to a server: %s", error.displayText().c_str());
     }
   }
-  finish(*current, run_end::never_started, {}, 0);
+  finish_unanswered(*current);
+}
+
+// Called when no server is left to try.
+void client::finish_unanswered(attempt& finished) {
+  if (!finished.inquiry) {
+    finish(finished, finished.may_have_arrived ? run_end::lost : run_end::never_started, {});
+    return;
+  }
+  const bool seen_by_none = finished.servers_without_request == load_.size();
+  finish_inquiry(finished, seen_by_none ? inquiry_outcome::never_ran : inquiry_outcome::unknown, {});
 }
 
 void client::on_end(const std::shared_ptr<attempt>& ended, exchange_end end, const response_head* head,
@@ -93,51 +114,74 @@
   const auto current = ended;  // NOLINT(performance-unnecessary-copy-initialization): the copy is needed
   switch (end) {
     case exchange_end::complete:
+      if (current->inquiry) {
+        on_inquiry_response(current, head->status, response);
+        return;
+      }
       // A 5xx status is the server's report of its own failure.
-      finish(*current, head->status < 500 ? run_end::succeeded : run_end::failed, response, head->status);
+      finish(*current, head->status < first_server_error_status ? run_end::succeeded : run_end::failed,
+             response);
+      return;
+    case exchange_end::malformed:
+      if (current->inquiry) break;
+      finish(*current, run_end::lost, {});
       return;
-    case exchange_end::malformed: finish(*current, run_end::lost, {}, 0); return;
     case exchange_end::not_connected: break;
-    case exchange_end::incomplete:
+    case exchange_end::incomplete: {
       log("uwsgi-server", "attempt ended without a complete response");
-      // A byte of the request may have arrived, so only a request that is safe to repeat is sent again.
-      if (!current->repeatable || current->repeated || current->servers_tried >= load_.size()) {
-        finish(*current, run_end::lost, {}, 0);
-        return;
-      }
-      current->repeated = true;
-      break;
+      const bool sent_again = std::exchange(current->may_have_arrived, true);
+      if (current->inquiry || (current->repeatable && !sent_again)) break;
+      finish(*current, run_end::lost, {});
+      return;
+    }
   }
+  continue_at_next_server(current);
+}
+
+void client::continue_at_next_server(const std::shared_ptr<attempt>& current) {
+  current->current_exchange->close();
   reactor_.retire(std::move(current->current_exchange));
   try_next_server(current);
 }
 
-void client::finish(attempt& current, run_end end, std::string_view response, unsigned status) {
-  const auto kept_alive = attempts_.at(current.id);
-  const duration elapsed = net::steady_now() - current.started_at;
-  if (current.current_exchange) {
-    current.current_exchange->close();
-    reactor_.retire(current.current_exchange);
+void client::on_inquiry_response(const std::shared_ptr<attempt>& current, unsigned status,
+                                 std::string_view response) {
+  if (status >= first_success_status && status <= last_success_status) {
+    finish_inquiry(*current, inquiry_outcome::completed, response);
+    return;
+  }
+  if (status == not_found_status) ++current->servers_without_request;
+  continue_at_next_server(current);
+}
+
+void client::remove(attempt& finished) {
+  const auto kept_alive = attempts_.at(finished.id);
+  if (finished.current_exchange) {
+    finished.current_exchange->close();
+    reactor_.retire(finished.current_exchange);
   }
-  --load_[current.server];
-  attempts_.erase(current.id);
+  --load_[finished.server];
+  attempts_.erase(finished.id);
   reactor_.retire(kept_alive);
   reactor_.wake();
-  if (!current.inquiry) {
-    dispatcher_.on_run_ended(current.id, end, end == run_end::succeeded ? response : std::string_view(),
-                             elapsed);
-    return;
-  }
-  const bool succeeded = end == run_end::succeeded;
-  const inquiry_outcome found = succeeded && status == 404                    ? inquiry_outcome::never_ran
-                                : succeeded && status >= 200 && status <= 299 ? inquiry_outcome::completed
-                                                                              : inquiry_outcome::unknown;
-  dispatcher_.on_inquiry_reply(current.id, found, response);
+}
+
+void client::finish(attempt& finished, run_end end, std::string_view response) {
+  const duration elapsed = net::steady_now() - finished.started_at;
+  const request_id id = finished.id;
+  remove(finished);
+  dispatcher_.on_run_ended(id, end, end == run_end::succeeded ? response : std::string_view(), elapsed);
+}
+
+void client::finish_inquiry(attempt& finished, inquiry_outcome outcome, std::string_view response) {
+  const request_id id = finished.id;
+  remove(finished);
+  dispatcher_.on_inquiry_reply(id, outcome, response);
 }
 
 void client::pause(request_id id) {
   const auto found = attempts_.find(id);
-  if (found != attempts_.end()) finish(*found->second, run_end::aborted, {}, 0);
+  if (found != attempts_.end()) finish(*found->second, run_end::aborted, {});
 }
 
 }  // namespace marblewharf::uwsgi
--- a/tests/net/keyed_test.cpp
+++ b/tests/net/keyed_test.cpp
@@ -17,8 +17,9 @@
 // A node with a Thrift front, a uwsgi front and a folder of stored results, its runtime and one uwsgi server.
 struct site {
   // `keyed_settings` are added to the section `keyed`, `read_class_settings` to the class kurs-abfrage.
+  // `two_servers`: the node has `second_server`, too.
   explicit site(node_options o = {}, std::string keyed_settings = "",
-                const std::string& read_class_settings = "")
+                const std::string& read_class_settings = "", bool two_servers = false)
       : options(std::move(o)) {
     char name[] = "/tmp/marblewharf-keyed-XXXXXX";
     CHECK(::mkdtemp(name) != nullptr);
@@ -27,8 +28,9 @@
     uwsgi_port = free_port();
     options.operators =
         "uwsgi {\n listen = " + host + std::to_string(uwsgi_port) + "\"\n servers = {" + host +
-        std::to_string(server.port) +
-        "\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\n"
+        std::to_string(server.port) + "\"" +
+        (two_servers ? ", " + host + std::to_string(second_server.port) + "\"" : "") +
+        "}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\n"
         "class kurs-abfrage {\n uwsgi_values = {\"/kurs/abfrage\"}\n " +
         read_class_settings +
         "}\nclass kurs-meldung {\n uwsgi_values = {\"/kurs/meldung\"}\n keyed = yes\n window = 10m\n}\n"
@@ -59,7 +61,7 @@
   node_options options;
   std::string folder;
   std::unique_ptr<runtime> fake_runtime = std::make_unique<runtime>();
-  listener server;  // the uwsgi server
+  listener server, second_server;  // the uwsgi servers
   int uwsgi_port;
   std::unique_ptr<node> price_node;
 };
@@ -488,6 +490,48 @@
   CHECK(!s.server.waiting(100));
 }
 
+// Guards against a second run of a write that one server has applied, because another server never saw it:
+// the node asks all servers, and releases the key only if none of them has seen the write.
+void inquiries_ask_all_servers() {
+  constexpr const char* never_saw_it = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+  site s({}, "inquiry_var = INQUIRY\n inquiry_value = yes\n inquiry_tries = 1\n inquiry_pause = 20ms", "",
+         true);
+  // Leaves the outcome of a write unknown. Returns the server that the write went to, then the other one, in
+  // the order in which they are not asked: the node tries servers in turn.
+  const auto leave_outcome_unknown = [&](const std::string& key) {
+    connection u = s.uwsgi(uwsgi_write(key));
+    while (!s.server.waiting(5) && !s.second_server.waiting(5)) {
+    }
+    const bool at_second = s.second_server.waiting(0);
+    listener& asked_last = at_second ? s.second_server : s.server;
+    asked_last.accept().take(10);
+    CHECK(starts_with(u.rest(), "HTTP/1.1 409 "));
+    return std::pair<listener&, listener&>(asked_last, at_second ? s.server : s.second_server);
+  };
+  const auto reply_to_inquiry = [](listener& server, const std::string& response) {
+    connection inquiry = server.accept();
+    inquiry.take(4);
+    inquiry.send(response);
+  };
+  {
+    const auto [ran, other] = leave_outcome_unknown("applied");
+    connection repeat = s.uwsgi(uwsgi_write("applied"));
+    reply_to_inquiry(other, never_saw_it);
+    reply_to_inquiry(ran, whole_response());
+    CHECK(repeat.rest() == whole_response());
+  }
+  const auto [ran, other] = leave_outcome_unknown("unanswered");
+  connection repeat = s.uwsgi(uwsgi_write("unanswered"));
+  reply_to_inquiry(other, never_saw_it);
+  reply_to_inquiry(ran, "");  // closes the connection without a response
+  CHECK(starts_with(repeat.rest(), "HTTP/1.1 409 "));
+  std::this_thread::sleep_for(50ms);  // beyond inquiry_pause
+  connection again = s.uwsgi(uwsgi_write("unanswered"));
+  reply_to_inquiry(other, never_saw_it);
+  reply_to_inquiry(ran, never_saw_it);
+  CHECK(starts_with(again.rest(), "HTTP/1.1 503 "));
+}
+
 // Runs the program under test with these arguments and returns its output and exit status.
 std::pair<std::string, int> run(const std::string& arguments) {
   std::FILE* pipe = ::popen((std::string(MARBLEWHARF) + " " + arguments + " 2>&1").c_str(), "r");
@@ -610,6 +654,7 @@
       {"drain", drain_answers_coalesced_duplicates},
       {"lost_link", lost_link_keeps_the_run},
       {"inquiry", inquiries_find_the_outcome},
+      {"inquiry_servers", inquiries_ask_all_servers},
       {"folders", locked_and_damaged_folders_are_reported},
       {"scrub", scrubbing_finds_a_changed_byte}};
   tests.at(argv[1])();
