--- a/src/server/memory_idempotency.cpp
+++ b/src/server/memory_idempotency.cpp
@@ -1,7 +1,6 @@
 #include "server/memory_idempotency.hpp"
 
 #include <algorithm>
-#include <filesystem>
 #include <utility>
 
 #include "lifecycle/hot_restart.hpp"
@@ -65,18 +64,22 @@
 }
 
 void memory_idempotency::try_join(time_point now) {
-  const bool log_exists = std::filesystem::is_directory(folder_);
   try {
     open_service(join(now), now);
   } catch (const store::folder_locked&) {  // another process is appending at this moment
     next_join_attempt_ = now + join_retry_interval;
+  } catch (const store::folder_unusable& error) {
+    telemetry::log("handover",
+                   "cannot join the log of shared keys: %s; a process that replaces this one will not know "
+                   "its keys",
+                   error.what());
+    open_service(nullptr, now);
   } catch (const store::io_error& error) {
     next_join_attempt_ = now + join_retry_interval;
     if (!std::exchange(failure_logged_, true))
-      telemetry::log("handover", "cannot join the log of shared keys: %s; %s", error.what(),
-                     log_exists ? "keyed requests are rejected meanwhile"
-                                : "a process that replaces this one will not know its keys");
-    if (!log_exists) open_service(nullptr, now);
+      telemetry::log("handover",
+                     "cannot join the log of shared keys: %s; keyed requests are rejected meanwhile",
+                     error.what());
   }
 }
 
--- a/src/server/memory_idempotency.hpp
+++ b/src/server/memory_idempotency.hpp
@@ -15,9 +15,9 @@
 namespace marblewharf::server {
 
 // Joins the log of shared keys in the temporary folder and connects the service to the dispatcher. While the
-// log exists and cannot be joined, keyed requests are rejected, because another process may have run them,
-// and step() retries to join. If no log can be created, the keys stay in this process. Owned by the reactor's
-// thread. All arguments outlive this object.
+// log cannot be joined, keyed requests are rejected, because another process may have run them, and step()
+// retries to join. If its folder is unusable, for this process and others, the keys stay in this process.
+// Owned by the reactor's thread. All arguments outlive this object.
 class memory_idempotency {
  public:
   // `settings` has `memory_idempotency`.
--- a/src/store/shared_log.cpp
+++ b/src/store/shared_log.cpp
@@ -30,6 +30,11 @@
   throw io_error(path + ": " + operation + ": " + std::strerror(errno));
 }
 
+// Whether a call that failed may succeed later.
+bool lacks_resource(int error) {
+  return error == ENOSPC || error == EDQUOT || error == ENOMEM || error == EMFILE || error == ENFILE;
+}
+
 bool try_flock(int descriptor, int operation) {
   return ::flock(descriptor, operation | LOCK_NB) == 0;
 }
@@ -120,12 +125,14 @@
 }
 
 void shared_log::prepare_folder() const {
-  if (::mkdir(options_.folder.c_str(), owner_only_folder) != 0 && errno != EEXIST)
-    fail(options_.folder, "create");
+  const bool created = ::mkdir(options_.folder.c_str(), owner_only_folder) == 0;
+  if (!created && lacks_resource(errno)) fail(options_.folder, "create");
+  if (!created && errno != EEXIST)
+    throw folder_unusable(options_.folder + ": create: " + std::strerror(errno));
   struct ::stat status {};
   if (::lstat(options_.folder.c_str(), &status) != 0) fail(options_.folder, "read");
   if (!S_ISDIR(status.st_mode) || status.st_uid != ::geteuid())
-    throw io_error(options_.folder + ": not a folder of this user");
+    throw folder_unusable(options_.folder + ": not a folder of this user");
 }
 
 // Creates and locks the file that shows that this process lives, and removes those of dead processes.
--- a/src/store/shared_log.hpp
+++ b/src/store/shared_log.hpp
@@ -26,6 +26,12 @@
 
 namespace marblewharf::store {
 
+// The folder of a shared log cannot be created, or does not belong to this user: a later attempt will fail,
+// too.
+struct folder_unusable : io_error {
+  using io_error::io_error;
+};
+
 struct shared_log_options {
   std::string folder;               // created if it does not exist
   std::uint64_t max_bytes = 0;      // of all segments together
@@ -59,8 +65,8 @@
     std::string body;
   };
 
-  // Joins the log. Throws folder_locked if another process is appending at this moment, io_error if the
-  // folder cannot be used, for example because it belongs to another user.
+  // Joins the log. Throws folder_locked if another process is appending at this moment, folder_unusable, or
+  // io_error if a resource is lacking, for example space.
   shared_log(shared_log_options options, std::int64_t now);
   ~shared_log();
   shared_log(const shared_log&) = delete;
--- a/tests/idempotency/kill_test.cpp
+++ b/tests/idempotency/kill_test.cpp
@@ -12,13 +12,16 @@
 
 #include "../net/harness.hpp"
 #include "../net/uwsgi_peer.hpp"
+#include "../peers/base64.hpp"
 #include "../peers/frail.hpp"
 
 using namespace harness;
 
 namespace {
 
+using peers::base64;
 using peers::frail;
+using peers::unbase64;
 
 struct shared_state {
   std::mutex guard;
@@ -43,30 +46,6 @@
   }
 };
 
-std::string base64(const std::string& in) {
-  static const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string out;
-  for (std::size_t i = 0; i < in.size(); i += 3) {
-    unsigned v = 0;
-    for (std::size_t k = 0; k < 3; ++k)
-      v = v << 8 | (i + k < in.size() ? static_cast<std::uint8_t>(in[i + k]) : 0u);
-    for (std::size_t k = 0; k < 4; ++k) out += i + k > in.size() ? '=' : digits[v >> (18 - 6 * k) & 63];
-  }
-  return out;
-}
-std::string unbase64(const std::string& in) {
-  const std::string digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string out;
-  unsigned v = 0, bits = 0;
-  for (const char c : in) {
-    const std::size_t d = digits.find(c);
-    if (d == std::string::npos) break;
-    v = v << 6 | static_cast<unsigned>(d);
-    if ((bits += 6) >= 8) out += static_cast<char>(v >> (bits -= 8) & 0xff);
-  }
-  return out;
-}
-
 // Simulates the runtime, which outlives the node: runs each request that it receives and ends the run after
 // at most 8 ms.
 void run_runtime(shared_state& state, const runtime& door, unsigned seed) {
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -578,8 +578,8 @@
   for (const char byte : bytes.substr(0, 4)) value = value << 8 | static_cast<std::uint8_t>(byte);
   return value;
 }
-inline reply read_reply(connection& client) {
-  const std::string payload = client.take(to_u32(client.take(4)));
+// The message with that payload.
+inline reply to_reply(const std::string& payload) {
   const std::size_t name_size = to_u32(std::string_view(payload).substr(4));
   reply r{"", static_cast<int>(to_u32(std::string_view(payload).substr(8 + name_size))),
           payload.substr(12 + name_size)};
@@ -588,6 +588,19 @@
   if (payload[3] == 2) r.kind = r.rest[2] == 0 ? "served" : r.rest[2] == 1 ? "refused" : "failed";
   return r;
 }
+inline reply read_reply(connection& client) {
+  return to_reply(client.take(to_u32(client.take(4))));
+}
+// Takes the first message off `in`; returns false if `in` holds no whole message.
+inline bool take_reply(std::string& in, reply& taken) {
+  constexpr std::size_t length_bytes = 4;
+  if (in.size() < length_bytes) return false;
+  const std::size_t size = to_u32(in);
+  if (in.size() < length_bytes + size) return false;
+  taken = to_reply(in.substr(length_bytes, size));
+  in.erase(0, length_bytes + size);
+  return true;
+}
 // The bytes of the result in a reply of kind "served".
 inline std::string result(const reply& served) {
   return served.rest.substr(10, to_u32(std::string_view(served.rest).substr(6)));
--- a/tests/store/shared_log_test.cpp
+++ b/tests/store/shared_log_test.cpp
@@ -139,7 +139,7 @@
     std::ofstream(file.path + "/plain") << "x";
     file.path += "/plain";
     const shared_log unusable(options_of(file, 4), now);
-  } catch (const store::io_error&) {
+  } catch (const store::folder_unusable&) {
     rejected = true;
   }
   CHECK(rejected);
@@ -236,6 +236,14 @@
   CHECK(::setrlimit(RLIMIT_NOFILE, &none) == 0);
   CHECK(!first.try_lock(now));
   CHECK(first.is_alive(2));
+  bool may_join_later = false;
+  try {
+    const shared_log third(options_of(at, 3), now);
+  } catch (const store::folder_unusable&) {
+  } catch (const store::io_error&) {
+    may_join_later = true;
+  }
+  CHECK(may_join_later);
   CHECK(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
   CHECK(append(first, "a") && bodies(second) == "a;");
 }
