Take a key as released only by its event, and go on when the log's files are removed

Need, from reading the fix again: a waiting repeat took a key that was no longer known as one that never ran, which is a conclusion from silence too; repeats that wait for a suspended process each asked every 10 ms whether it lives; an idle node kept expired segments; and a cleaner of temporary files could remove the lock, after which two processes would not exclude each other.

Change: `released` is a state of its own, and an unknown key has an unknown outcome. Liveness is asked once per process and interval. Expired segments go without new writes. Removed files are replaced by new ones. shared_log.descriptors throws once before it takes the descriptors away: the sanitizer checks types by means of a pipe and failed with its own report (traced: "memory cannot be printed", no fault of the program).

--- a/src/idempotency/memory_service.cpp
+++ b/src/idempotency/memory_service.cpp
@@ -55,8 +55,9 @@
 claim_result memory_service::claim(request_id id, const request& claimant) {
   const key_id key = key_of(claimant);
   if (shared_) {
+    shared_->read_events(now_);
     const peer_run* run = shared_->find(key, now_);
-    if (run != nullptr && run->expiry > claimant.arrival_time.count())
+    if (shared_keys::forbids_run(run, claimant.arrival_time))
       return claim_peer_run(id, key, claimant, run->state);
   }
   const duration window = options_.windows.at(claimant.request_class);
@@ -70,11 +71,12 @@
 claim_result memory_service::claim_peer_run(request_id id, const key_id& key, const request& claimant,
                                             peer_run_state state) {
   switch (state) {
+    case peer_run_state::running: count(claim_status::coalesced); break;
+    case peer_run_state::completed: count(claim_status::completed); break;
     case peer_run_state::outcome_unknown:
+    case peer_run_state::released:
       count(claim_status::outcome_unknown);
       return {.status = claim_status::outcome_unknown};
-    case peer_run_state::running: count(claim_status::coalesced); break;
-    case peer_run_state::completed: count(claim_status::completed); break;
   }
   readers_[id] = {key, claimant.arrival_time, true};
   return {.status = claim_status::completed};
@@ -166,6 +168,7 @@
   std::vector<request_id> readers = std::exchange(readers_awaiting_peer_, {});
   const std::vector<request_id> requested = std::exchange(requested_results_, {});
   readers.insert(readers.end(), requested.begin(), requested.end());
+  if (shared_ && !readers.empty()) shared_->read_events(now_);
   for (const request_id id : readers)
     if (reply_to_reader(id) == reply_status::awaits_peer) readers_awaiting_peer_.push_back(id);
 }
@@ -186,20 +189,23 @@
   return reply_status::sent;
 }
 
-// A run that is no longer known was released: it never began.
 memory_service::reply_status memory_service::reply_from_peer(request_id id, const key_id& key) {
   const peer_run* run = shared_->find(key, now_);
-  if (run != nullptr && run->state == peer_run_state::running) return reply_status::awaits_peer;
+  const peer_run_state state = run != nullptr ? run->state : peer_run_state::outcome_unknown;
+  if (state == peer_run_state::running) return reply_status::awaits_peer;
   readers_.erase(id);
   fetched_result fetched;
   std::optional<shared_keys::run_result> result;
-  if (run == nullptr) {
-    fetched.outcome = fetch_outcome::never_ran;
-  } else if (run->state == peer_run_state::outcome_unknown) {
-    fetched.outcome = fetch_outcome::outcome_unknown;
-  } else if (result = shared_->read_result(*run); result) {
-    fetched.outcome = result->succeeded ? fetch_outcome::succeeded : fetch_outcome::run_failed;
-    fetched.bytes = result->bytes;
+  switch (state) {
+    case peer_run_state::completed:
+      result = shared_->read_result(*run);
+      if (!result) break;
+      fetched.outcome = result->succeeded ? fetch_outcome::succeeded : fetch_outcome::run_failed;
+      fetched.bytes = result->bytes;
+      break;
+    case peer_run_state::released: fetched.outcome = fetch_outcome::never_ran; break;
+    case peer_run_state::running:
+    case peer_run_state::outcome_unknown: fetched.outcome = fetch_outcome::outcome_unknown; break;
   }
   observer().on_result_fetched(id, fetched);
   return reply_status::sent;
@@ -208,7 +214,7 @@
 void memory_service::remove_expired() {
   const aging_time horizon = expiry_horizon();
   table_.expire(horizon);
-  if (shared_) shared_->expire(horizon);
+  if (shared_) shared_->expire(now_, horizon);
   std::erase_if(readers_, [horizon](const auto& reader) { return reader.second.arrived.count() <= horizon; });
   while (!expiry_queue_.empty() && expiry_queue_.front().expiry <= horizon) {
     const expiring_key next = expiry_queue_.front();
--- a/src/idempotency/peer_keys.cpp
+++ b/src/idempotency/peer_keys.cpp
@@ -15,11 +15,8 @@
   }
   const auto found = runs_.find(event->key);
   if (found == runs_.end() || found->second.owner != record.writer) return;
-  if (event->type == key_event_type::release) {
-    runs_.erase(found);
-  } else {
-    found->second.state = peer_run_state::outcome_unknown;
-  }
+  const bool released = event->type == key_event_type::release;
+  found->second.state = released ? peer_run_state::released : peer_run_state::outcome_unknown;
 }
 
 void peer_keys::begin(const key_id& key, const store::shared_record& record) {
--- a/src/idempotency/peer_keys.hpp
+++ b/src/idempotency/peer_keys.hpp
@@ -9,8 +9,9 @@
 //   running          result                                      completed
 //   running          outcome_unknown, or the process has ended   outcome_unknown
 //   outcome_unknown  result: the end was reported late           completed
-//   running,         release: proven not to have run             (unknown key)
+//   running,         release: proven not to have run             released
 //   outcome_unknown
+//   released         intent                                      running
 //   any              expire()                                    (unknown key)
 #pragma once
 
@@ -24,7 +25,12 @@
 
 namespace marblewharf::idempotency {
 
-enum class peer_run_state : std::uint8_t { running, completed, outcome_unknown };
+enum class peer_run_state : std::uint8_t {
+  running,
+  completed,
+  outcome_unknown,
+  released,  // never ran: the key is free
+};
 
 // The run of a key in another process.
 struct peer_run {
@@ -43,7 +49,7 @@
   // Removes runs that expired at `horizon` or before.
   void expire(aging_time horizon);
 
-  // Returns null if no other process has run the key.
+  // Returns null if the key is unknown, which proves nothing about its run: it may have expired.
   const peer_run* find(const key_id& key) const;
   std::size_t size() const { return runs_.size(); }
 
--- a/src/idempotency/shared_keys.cpp
+++ b/src/idempotency/shared_keys.cpp
@@ -7,6 +7,7 @@
 
 // Another process holds the log's lock only while it appends, unless it is suspended.
 constexpr duration lock_timeout = std::chrono::milliseconds(50);
+constexpr duration liveness_check_interval = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -52,7 +53,7 @@
   std::vector<intent_outcome> outcomes;
   std::vector<store::shared_log::draft> drafts;
   for (const pending_intent& intent : std::exchange(intents_, {})) {
-    const bool may_run = events_appended && !was_run_by_peer(intent);
+    const bool may_run = events_appended && !forbids_run(peers_.find(intent.key), intent.arrival);
     outcomes.push_back({intent.primary, may_run});
     if (may_run) drafts.push_back({intent.expiry, encode({key_event_type::intent, intent.key})});
   }
@@ -61,9 +62,8 @@
   return outcomes;
 }
 
-bool shared_keys::was_run_by_peer(const pending_intent& intent) const {
-  const peer_run* run = peers_.find(intent.key);
-  return run != nullptr && run->expiry > intent.arrival.count();
+bool shared_keys::forbids_run(const peer_run* run, time_point arrival) {
+  return run != nullptr && run->state != peer_run_state::released && run->expiry > arrival.count();
 }
 
 // Events that cannot be written stay pending: until they are, other processes take the runs for unfinished.
@@ -81,14 +81,27 @@
 // The events are read once more after the owner was found to have ended, because its last event may have been
 // its result.
 const peer_run* shared_keys::find(const key_id& key, time_point now) {
-  read_events(now);
   const peer_run* run = peers_.find(key);
-  if (run == nullptr || run->state != peer_run_state::running || log_->is_alive(run->owner)) return run;
+  if (run == nullptr || run->state != peer_run_state::running || is_alive(run->owner, now)) return run;
   read_events(now);
   peers_.on_owner_ended(key);
   return peers_.find(key);
 }
 
+bool shared_keys::is_alive(store::log_member owner, time_point now) {
+  liveness& known = owners_[owner];
+  if (now - known.checked_at >= liveness_check_interval) known = {log_->is_alive(owner), now};
+  return known.alive;
+}
+
+void shared_keys::expire(time_point now, aging_time horizon) {
+  peers_.expire(horizon);
+  std::erase_if(
+      owners_, [now](const auto& owner) { return now - owner.second.checked_at >= liveness_check_interval; });
+  if (!log_->has_expired(horizon)) return;
+  if (const auto lock = log_->try_lock(now.count())) log_->remove_expired(*lock, horizon);
+}
+
 std::optional<shared_keys::run_result> shared_keys::read_result(const peer_run& completed) const {
   const std::optional<std::string> body = log_->read(completed.event_at);
   if (!body) return std::nullopt;
--- a/src/idempotency/shared_keys.hpp
+++ b/src/idempotency/shared_keys.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "idempotency/key_events.hpp"
@@ -49,12 +50,18 @@
   bool is_blocked() const { return blocked_; }
 
   // ---- Runs of other processes ----------------------------------------------------------------------------
-  // Reads the events that other processes have published, and returns the run of a key, or null if no other
-  // process has run it. A run whose process has ended without a result is one with an unknown outcome.
+  // Reads the events that other processes have published since the last call.
+  void read_events(time_point now);
+  // Returns the run of a key according to the events that were read, or null if the key is unknown. A run
+  // whose process has ended without a result is one with an unknown outcome.
   const peer_run* find(const key_id& key, time_point now);
+  // Whether another process has run the key within its window, so that a request that arrived at `arrival`
+  // must not run.
+  static bool forbids_run(const peer_run* run, time_point arrival);
   // Returns nothing if the result cannot be read.
   std::optional<run_result> read_result(const peer_run& completed) const;
-  void expire(aging_time horizon) { peers_.expire(horizon); }
+  // Removes what has expired at `horizon` or before, also from the log.
+  void expire(time_point now, aging_time horizon);
 
   // The bytes that events of this process may still take.
   std::uint64_t free_bytes() const { return log_->free_bytes(); }
@@ -69,17 +76,22 @@
     time_point since{};
   };
 
-  void read_events(time_point now);
+  struct liveness {
+    bool alive = true;
+    time_point checked_at{};
+  };
+
+  bool is_alive(store::log_member owner, time_point now);
   std::vector<intent_outcome> try_publish(time_point now, aging_time horizon);
   std::vector<intent_outcome> reject_blocked_intents(time_point now);
   std::vector<intent_outcome> append_pending(const store::shared_log::append_lock& lock);
   bool append_events(const store::shared_log::append_lock& lock);
-  bool was_run_by_peer(const pending_intent& intent) const;
 
   std::unique_ptr<store::shared_log> log_;
   peer_keys peers_;
   std::vector<pending_intent> intents_;
   std::vector<store::shared_log::draft> events_;  // pending events other than intents
+  std::unordered_map<store::log_member, liveness> owners_;
   bool blocked_ = false;
 };
 
--- a/src/store/shared_log.cpp
+++ b/src/store/shared_log.cpp
@@ -111,10 +111,9 @@
 
 shared_log::shared_log(shared_log_options options, std::int64_t now) : options_(std::move(options)) {
   prepare_folder();
-  const std::string lock_path = options_.folder + "/lock";
-  lock_ = descriptor::open(lock_path, O_RDWR | O_CREAT);
-  if (!lock_) fail(lock_path, "open");
-  if (!try_flock(lock_->get(), LOCK_EX)) throw folder_locked(lock_path + ": another process is appending");
+  open_lock();
+  if (!try_flock(lock_->get(), LOCK_EX))
+    throw folder_locked(options_.folder + ": another process is appending");
   const append_lock lock(lock_->get());
   join_members();
   load_segments(now);
@@ -135,6 +134,36 @@
     throw folder_unusable(options_.folder + ": not a folder of this user");
 }
 
+void shared_log::open_lock() {
+  const std::string path = options_.folder + "/lock";
+  auto opened = descriptor::open(path, O_RDWR | O_CREAT);
+  if (!opened) fail(path, "open");
+  lock_ = std::move(opened);
+}
+
+// A cleaner of temporary files may have removed the lock: processes that lock a removed file and a new one
+// would not exclude each other.
+bool shared_log::restore_lock() {
+  if (linked_size(lock_->get())) return true;
+  try {
+    prepare_folder();
+    open_lock();
+  } catch (const io_error&) {
+    return false;
+  }
+  return true;
+}
+
+bool shared_log::restore_member() {
+  if (linked_size(member_->get())) return true;
+  try {
+    join_members();
+  } catch (const io_error&) {
+    return false;
+  }
+  return true;
+}
+
 // Creates and locks the file that shows that this process lives, and removes those of dead processes.
 void shared_log::join_members() {
   for (const std::string& name : names_in(options_.folder)) {
@@ -144,8 +173,9 @@
     if (other && try_flock(other->get(), LOCK_SH)) ::unlink(path.c_str());
   }
   const std::string path = member_path(options_.member);
-  member_ = descriptor::open(path, O_RDWR | O_CREAT | O_EXCL);
-  if (!member_ || !try_flock(member_->get(), LOCK_EX)) fail(path, "create");
+  auto created = descriptor::open(path, O_RDWR | O_CREAT | O_EXCL);
+  if (!created || !try_flock(created->get(), LOCK_EX)) fail(path, "create");
+  member_ = std::move(created);
 }
 
 // The newest segment states the salt of the log; segments with another one belong to an earlier log.
@@ -292,9 +322,9 @@
 }
 
 std::optional<shared_log::append_lock> shared_log::try_lock(std::int64_t now) {
-  if (!try_flock(lock_->get(), LOCK_EX)) return std::nullopt;
+  if (!restore_lock() || !try_flock(lock_->get(), LOCK_EX)) return std::nullopt;
   append_lock lock(lock_->get());
-  if (!read_to_end(now)) return std::nullopt;
+  if (!restore_member() || !read_to_end(now)) return std::nullopt;
   // If all segments were removed by somebody else, the log continues in a new one.
   if (!current_is_linked() && !create_segment(segments_.back().number + 1)) return std::nullopt;
   if (!remove_torn_end()) return std::nullopt;
@@ -322,9 +352,12 @@
 }
 
 // The current segment stays, because its number is the highest.
+bool shared_log::has_expired(std::int64_t now) const {
+  return segments_.size() > 1 && segments_.front().last_expiry <= now;
+}
+
 void shared_log::remove_expired(const append_lock& /*lock*/, std::int64_t now) {
-  const auto expired = [now](const segment& each) { return each.last_expiry <= now; };
-  while (segments_.size() > 1 && expired(segments_.front())) {
+  while (has_expired(now)) {
     ::unlink(segment_path(segments_.front().number).c_str());
     segments_.erase(segments_.begin());
   }
--- a/src/store/shared_log.hpp
+++ b/src/store/shared_log.hpp
@@ -85,6 +85,8 @@
   bool append(const append_lock& lock, const std::vector<draft>& drafts);
   // Removes segments whose records have all expired. Requires the lock.
   void remove_expired(const append_lock& lock, std::int64_t now);
+  // Whether remove_expired() would remove a segment.
+  bool has_expired(std::int64_t now) const;
 
   // Returns the body of a record; nothing if it was removed or cannot be read.
   std::optional<std::string> read(const shared_position& body_at) const;
@@ -102,6 +104,9 @@
   };
 
   void prepare_folder() const;
+  void open_lock();
+  bool restore_lock();
+  bool restore_member();
   void join_members();
   void load_segments(std::int64_t now);
   std::vector<std::uint64_t> segment_numbers() const;  // ascending
--- a/tests/idempotency/shared_keys_test.cpp
+++ b/tests/idempotency/shared_keys_test.cpp
@@ -150,8 +150,9 @@
     CHECK(second.arrive(12, "closed") == claim_status::completed && !second.fetch(12));
     first.complete(2, true, "last");
   }
-  CHECK(second.outcome(11) == fetch_outcome::outcome_unknown);
-  CHECK(second.outcome(12) == fetch_outcome::succeeded);
+  constexpr time_point later = start + 20ms;  // whether a process lives is checked at intervals
+  CHECK(second.outcome(11, later) == fetch_outcome::outcome_unknown);
+  CHECK(second.outcome(12, later) == fetch_outcome::succeeded);
   CHECK(second.arrive(13, "open") == claim_status::outcome_unknown);
   CHECK(second.arrive(14, "closed") == claim_status::completed);
   CHECK(second.counters.duplicates_of_unknown_outcome == 1);
--- a/tests/store/shared_log_test.cpp
+++ b/tests/store/shared_log_test.cpp
@@ -230,6 +230,11 @@
   const folder at;
   shared_log first(options_of(at, 1), now), second(options_of(at, 2), now);
   for (int i = 0; i < 3; ++i) CHECK(append(second, std::string(600, 'x')));
+  // The sanitizer checks the type of an object that it does not know by means of a pipe.
+  try {
+    throw store::io_error("known to the sanitizer from here on");
+  } catch (const store::io_error&) {
+  }
   rlimit limit{};
   CHECK(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
   const rlimit none{0, limit.rlim_max};
@@ -248,6 +253,24 @@
   CHECK(append(first, "a") && bodies(second) == "a;");
 }
 
+// Guards against processes that no longer see or exclude each other because a cleaner of temporary files has
+// removed the log's files.
+void removed_files_are_replaced() {
+  const folder at;
+  shared_log first(options_of(at, 1), now), second(options_of(at, 2), now);
+  CHECK(append(first, "old") && bodies(second) == "old;");
+  std::filesystem::remove_all(at.path);
+  CHECK(append(first, "a"));
+  {
+    const auto held = first.try_lock(now);
+    CHECK(held && !second.try_lock(now));
+  }
+  CHECK(append(second, "b") && bodies(first) == "b;");
+  CHECK(first.is_alive(2) && second.is_alive(1));
+  shared_log third(options_of(at, 3), now);
+  CHECK(bodies(third) == "a;b;" && third.salt() == first.salt());
+}
+
 // Guards against a large segment that is taken for torn because it is read in several pieces.
 void large_segments_are_read_whole() {
   const folder at;
@@ -284,6 +307,7 @@
       {"alive", members_are_alive_until_they_end},
       {"suspended", suspended_member_continues_with_the_newest_segment},
       {"descriptors", member_without_descriptors_appends_nothing},
+      {"removed", removed_files_are_replaced},
       {"large", large_segments_are_read_whole},
       {"lifetimes", lifetimes_are_bounded},
   };
