--- a/src/idempotency/memory_service.cpp
+++ b/src/idempotency/memory_service.cpp
@@ -93,7 +93,7 @@
 }
 
 // Only keys whose intent was published are known to the other processes.
-void memory_service::share(request_id primary, const key_event& event) {
+void memory_service::publish_event(request_id primary, const key_event& event) {
   if (shared_) shared_->add_event(event, primary_key(primary).expiry);
 }
 
@@ -108,19 +108,19 @@
   bytes_ += size_of(stored);
   expiry_queue_.push_back({expiry, key});
   recorded_results_.push_back(primary);
-  share(primary, {key_event_type::result, key, succeeded, result});
+  publish_event(primary, {key_event_type::result, key, succeeded, result});
   return true;
 }
 
 void memory_service::mark_outcome_unknown(request_id primary) {
   const key_id key = primary_key(primary).key;
-  if (table_.mark_outcome_unknown(key)) share(primary, {key_event_type::outcome_unknown, key});
+  if (table_.mark_outcome_unknown(key)) publish_event(primary, {key_event_type::outcome_unknown, key});
 }
 
 void memory_service::release_key(request_id primary) {
   const key_id key = primary_key(primary).key;
   const bool published = table_.contains(key) && table_.state_of(key) != key_state::queued;
-  if (table_.release(key) && published) share(primary, {key_event_type::release, key});
+  if (table_.release(key) && published) publish_event(primary, {key_event_type::release, key});
 }
 
 void memory_service::step(time_point now) {
--- a/src/idempotency/memory_service.hpp
+++ b/src/idempotency/memory_service.hpp
@@ -85,7 +85,7 @@
   key_id key_of(const request& claimant) const;
   claim_result claim_peer_run(request_id id, const key_id& key, const request& claimant,
                               peer_run_state state);
-  void share(request_id primary, const key_event& event);
+  void publish_event(request_id primary, const key_event& event);
   void reply_to_intents();
   void reply_to_readers();
   reply_status reply_to_reader(request_id id);
--- a/src/idempotency/peer_keys.cpp
+++ b/src/idempotency/peer_keys.cpp
@@ -24,7 +24,7 @@
   expiries_.emplace(record.expiry, key);
 }
 
-// The intent may have been in a segment that is no longer there.
+// The segment with the intent may have been removed.
 void peer_keys::complete(const key_id& key, const store::shared_record& record) {
   const auto found = runs_.find(key);
   if (found == runs_.end()) {
--- a/src/server/memory_idempotency.cpp
+++ b/src/server/memory_idempotency.cpp
@@ -11,14 +11,14 @@
 namespace marblewharf::server {
 namespace {
 
-// The memory for keys and results is divided between this process and the log, which may be in memory, too.
-constexpr std::size_t memory_shares = 2;
+// The memory for keys and results: one part for this process, one for the log, which may be in memory, too.
+constexpr std::size_t memory_parts = 2;
 constexpr std::size_t segments_per_log = 8;
 constexpr duration join_retry_interval = std::chrono::milliseconds(20);
 constexpr duration rejected_retry_after = std::chrono::seconds(1);
 
-std::size_t memory_share(const config& settings) {
-  return settings.memory_idempotency->max_bytes / memory_shares;
+std::size_t bytes_per_part(const config& settings) {
+  return settings.memory_idempotency->max_bytes / memory_parts;
 }
 
 idempotency::memory_service_options options_of(const config& settings) {
@@ -26,7 +26,7 @@
   idempotency::memory_service_options options;
   options.windows = repeats.windows;
   options.longest_wait = repeats.longest_deadline;
-  options.memory = memory_share(settings);
+  options.memory = bytes_per_part(settings);
   options.largest_result = settings.bounds.max_result_bytes;
   options.max_open_keys = settings.bounds.max_open_keyed_requests;
   options.salt = random_seed();
@@ -40,8 +40,8 @@
   const memory_idempotency_config& repeats = *settings.memory_idempotency;
   const duration longest_window = *std::max_element(repeats.windows.begin(), repeats.windows.end());
   return {.folder = folder,
-          .max_bytes = memory_share(settings),
-          .segment_bytes = memory_share(settings) / segments_per_log,
+          .max_bytes = bytes_per_part(settings),
+          .segment_bytes = bytes_per_part(settings) / segments_per_log,
           .max_lifetime = (longest_window + repeats.longest_deadline).count(),
           .member = random_seed(),
           .salt = random_seed()};
