--- a/src/idempotency/peer_keys.cpp
+++ b/src/idempotency/peer_keys.cpp
@@ -15,11 +15,8 @@
   }
   const auto found = runs_.find(event->key);
   if (found == runs_.end() || found->second.owner != record.writer) return;
-  if (event->type == key_event_type::release) {
-    runs_.erase(found);
-  } else {
-    found->second.state = peer_run_state::outcome_unknown;
-  }
+  const bool released = event->type == key_event_type::release;
+  found->second.state = released ? peer_run_state::released : peer_run_state::outcome_unknown;
 }
 
 void peer_keys::begin(const key_id& key, const store::shared_record& record) {
@@ -27,7 +24,7 @@
   expiries_.emplace(record.expiry, key);
 }
 
-// The intent may have been in a segment that is no longer there.
+// The segment with the intent may have been removed.
 void peer_keys::complete(const key_id& key, const store::shared_record& record) {
   const auto found = runs_.find(key);
   if (found == runs_.end()) {
