Read the clock once a round in uwsgi.mixed_load, which lost runs between two readings

Cause: the test, which serves the runs of both protocols itself, ended all runs that were due by one reading of the clock and erased those that were due by a later one. A run that became due in between was erased without an end; where it was a write, the node failed it at its deadline after 1,500 ms.

Change: one reading for both loops. No check was changed.

--- a/tests/net/uwsgi_test.cpp
+++ b/tests/net/uwsgi_test.cpp
@@ -251,15 +251,17 @@
         s.fake_runtime.end(member(line, "call"), "broken_off");
       }
     }
+    // One reading for both loops: a run that became due between two readings would be erased without an end.
+    const auto now = clock::now();
     for (pending_run& run : runs) {
-      if (run.due > clock::now()) continue;
+      if (run.due > now) continue;
       if (run.label.empty()) {
         run.attempt.send(ok_response());
       } else {
         s.fake_runtime.end(run.label, "fine", "b2s=");
       }
     }
-    std::erase_if(runs, [](const pending_run& run) { return run.due <= clock::now(); });
+    std::erase_if(runs, [now](const pending_run& run) { return run.due <= now; });
   };
   for (int round = 0; round < rounds; ++round) {
     if (random() / 64 % 2 == 0) {
