Name the uwsgi server in the intent of a keyed write, and let only this server free the key

Cause: an inquiry about a write of unknown outcome could not know which server had got the write. It asked all servers and freed the key if all of them answered 404, so that a server that was taken out of the settings or renamed since the write was left out, and its write ran a second time.

Change: the server is chosen before the intent is written (backend::choose_server), the intent names it by its host:port, and the run goes to this server only. If it cannot be reached, no byte arrived there, and an intent that names the next one is written first (dispatcher::on_server_unreachable). An inquiry asks the named server: 2xx is the result, 404 frees the key, anything else leaves the outcome unknown until the key's window ends. `marblewharf results list` shows the server, and inquiries_without_server counts inquiries without an answer. Intents of earlier versions stay readable: all servers are asked for the result, and no 404 frees the key. A record of a later version stops the start with one line; before, it was passed over and its key forgotten.

--- a/src/config/endpoint.cpp
+++ b/src/config/endpoint.cpp
@@ -5,6 +5,10 @@
 
 namespace marblewharf {
 
+std::string name_of(const endpoint& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
 std::optional<endpoint> parse_endpoint(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) return std::nullopt;
--- a/src/config/endpoint.hpp
+++ b/src/config/endpoint.hpp
@@ -14,6 +14,9 @@
   bool operator==(const endpoint&) const = default;
 };
 
+// The endpoint as "host:port".
+std::string name_of(const endpoint& address);
+
 // Parses "host:port", split at the last colon. Returns no value for any other text.
 std::optional<endpoint> parse_endpoint(const std::string& text);
 
--- a/src/core/coalesced_group.hpp
+++ b/src/core/coalesced_group.hpp
@@ -21,6 +21,8 @@
 //   writing_intent    the intent is durable and a client waits           running
 //   writing_intent    the intent could not be written; all clients       (closed)
 //                     have cancelled
+//   running           the run's server cannot be reached, another is     writing_intent
+//                     left
 //   running           the run succeeded or failed                        recording_result
 //   running           the run is lost or aborted; proven not to have     (closed)
 //                     run; rejected by the backend
@@ -38,6 +40,7 @@
   std::string result;             // set in stage recording_result
   time_point respond_by{};        // latest time of the primary's answer, in any stage
   std::vector<request_id> duplicates;
+  std::vector<std::string> unreachable_servers;  // servers that got no byte of the request
 };
 
 }  // namespace marblewharf
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -103,6 +103,11 @@
   requests_.remove(id);
 }
 
+void dispatcher::on_server_unreachable(request_id id) {
+  request_entry* entry = find_started(id);
+  if (entry != nullptr && entry->role == request_role::primary) coalescer_.on_server_unreachable(*entry);
+}
+
 void dispatcher::on_dependency_call_needed(request_id id) {
   if (find_started(id) != nullptr) admission_.report(call_needed{id});
 }
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -49,6 +49,9 @@
   void on_run_ended(request_id id, run_end end, std::string_view result, duration elapsed);
   // The backend did not begin a run because it lacks capacity: the request is answered as rejected.
   void on_backend_rejected(request_id id, duration retry_after);
+  // The server that the run of a keyed request names got no byte of the request. The run begins anew at
+  // another server once an intent that names it is durable.
+  void on_server_unreachable(request_id id);
   // A run has to make its dependency call before it can continue; that call ended, successfully or not.
   void on_dependency_call_needed(request_id id);
   void on_dependency_call_ended(request_id id, duration elapsed);
--- a/src/core/duplicate_coalescer.cpp
+++ b/src/core/duplicate_coalescer.cpp
@@ -52,7 +52,10 @@
   const claim_result claim = store_->claim(arrival.id, arrival.details);
   switch (claim.status) {
     case claim_status::primary: add_primary(arrival, group_stage::queued); break;
-    case claim_status::inquiry_primary: add_primary(arrival, group_stage::inquiring); break;
+    case claim_status::inquiry_primary:
+      arrival.details.server = claim.server;
+      add_primary(arrival, group_stage::inquiring);
+      break;
     case claim_status::coalesced: add_duplicate(arrival, claim.primary); break;
     case claim_status::completed:
       arrival.role = request_role::stored_result_reader;
@@ -93,10 +96,30 @@
 
 void duplicate_coalescer::start_primary(request_entry& primary) {
   primary.stage = request_stage::started;
-  primary.group->stage = group_stage::writing_intent;
+  write_intent(primary);
+}
+
+// The intent names the server before the run is sent to it: after a crash, only this server can tell what
+// became of the run.
+void duplicate_coalescer::write_intent(request_entry& primary) {
+  coalesced_group& group = *primary.group;
+  std::optional<std::string> server =
+      primary.target_backend.choose_server(primary.details, group.unreachable_servers);
+  if (!server) {
+    on_run_ended(primary, run_end::never_started, {}, {});
+    return;
+  }
+  primary.details.server = std::move(*server);
+  group.stage = group_stage::writing_intent;
   store_->write_intent(primary.id, primary.details);
 }
 
+void duplicate_coalescer::on_server_unreachable(request_entry& primary) {
+  if (primary.group->stage != group_stage::running) return;
+  primary.group->unreachable_servers.push_back(primary.details.server);
+  write_intent(primary);
+}
+
 void duplicate_coalescer::on_intent_written(request_id primary_id, bool durable) {
   request_entry* primary = find_primary(primary_id, group_stage::writing_intent);
   if (primary == nullptr) return;
@@ -111,7 +134,7 @@
     return;
   }
   primary->group->stage = group_stage::running;
-  ++counters_.started_runs;
+  if (primary->group->unreachable_servers.empty()) ++counters_.started_runs;
   primary->target_backend.run(primary_id, primary->details);
 }
 
--- a/src/core/duplicate_coalescer.hpp
+++ b/src/core/duplicate_coalescer.hpp
@@ -40,6 +40,7 @@
   void on_client_cancelled(request_entry& entry);
   void on_run_ended(request_entry& primary, run_end end, std::string_view result, duration elapsed);
   void on_backend_rejected(request_entry& primary, const answer& final_answer);
+  void on_server_unreachable(request_entry& primary);
   void on_inquired(request_id primary_id, inquiry_outcome end, std::string_view result);
 
   // ---- Decisions of the policy ----------------------------------------------------------------------------
@@ -79,6 +80,7 @@
   void respond_at_next_step(const request_entry& arrival, const answer& final_answer);
   request_entry* find_primary(request_id id, group_stage stage);  // null if no primary `id` is in `stage`
   void cancel_primary(request_entry& primary);
+  void write_intent(request_entry& primary);
   void record_result(request_entry& primary, bool succeeded, std::string_view result);
   void inquire(request_entry& primary);
   void respond_to_all(request_entry& primary, const answer& final_answer, run_end reported_end);
--- a/src/core/idempotency_store.hpp
+++ b/src/core/idempotency_store.hpp
@@ -3,6 +3,7 @@
 // sides run on the dispatcher's thread.
 #pragma once
 
+#include <string>
 #include <string_view>
 
 #include "core/claim_status.hpp"
@@ -15,6 +16,7 @@
   claim_status status = claim_status::primary;
   request_id primary = 0;  // if coalesced: the request whose outcome is shared
   duration retry_after{};  // if there is no capacity
+  std::string server{};    // if the primary has to inquire: the server that the intent names, if any
 };
 
 class idempotency_store {
@@ -25,7 +27,8 @@
   // the key until close_primary().
   virtual claim_result claim(request_id id, const request& details) = 0;
 
-  // Writes the intent to run a primary; on_intent_written() follows.
+  // Writes the intent to run a primary at `details.server`; on_intent_written() follows. Called again if the
+  // run goes to another server, because the first one could not be reached.
   virtual void write_intent(request_id primary, const request& details) = 0;
   // Records the result of a primary whose run ended; on_result_recorded() follows. Returns false if the state
   // of the key does not allow a result; nothing is recorded then.
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -27,6 +27,9 @@
   double rank = 0;                // position among requests of the same class, 0 to 1
   std::string key;                // idempotency key of the client; empty: the request has none
   std::uint64_t fingerprint = 0;  // hash of the request's content; equal for all duplicates of a request
+  // The backend's server that the run of a keyed request is or was sent to, by its name in the settings.
+  // Empty: the backend does not distinguish servers, or the server is not known.
+  std::string server;
 };
 
 // How a run ended.
--- a/src/fan_out/client.cpp
+++ b/src/fan_out/client.cpp
@@ -70,6 +70,12 @@
 
 // ---- backend ----------------------------------------------------------------------------------------------
 
+std::optional<std::string> client::choose_server(const request& client_request,
+                                                 const std::vector<std::string>& unreachable) {
+  if (plan_of_class_[client_request.request_class]) return std::string();
+  return next_backend_.choose_server(client_request, unreachable);
+}
+
 void client::run(request_id id, const request& client_request) {
   const std::optional<std::size_t> plan = plan_of_class_[client_request.request_class];
   if (!plan) {
--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -19,8 +19,10 @@
   key_table_options table;
   table.max_keys = options.max_keys;
   table.max_open_keys = options.max_open_keys;
-  table.max_intent_bytes = max_intent_bytes(options.max_key_bytes, longest_name_bytes(options.tenants),
-                                            longest_name_bytes(options.classes));
+  table.max_intent_bytes = max_intent_bytes({.key = options.max_key_bytes,
+                                             .tenant = longest_name_bytes(options.tenants),
+                                             .request_class = longest_name_bytes(options.classes),
+                                             .server = options.max_server_name_bytes});
   table.max_result_bytes = max_result_bytes(options.max_result_bytes);
   table.retry_disk = options.retry_disk;
   table.inquiry_tries = options.inquiry_tries;
@@ -28,6 +30,13 @@
   return table;
 }
 
+// A record whose checksums are valid but whose content is not: a later version or another program wrote it.
+// Its key must not be forgotten, so the folder is not used.
+store::damaged unknown_record(const std::string& folder, std::uint32_t type) {
+  return store::damaged(folder + ": a record of type " + std::to_string(type) +
+                        " is unknown to this version, so no key may be recovered without it");
+}
+
 }  // namespace
 
 // ---- Start ------------------------------------------------------------------------------------------------
@@ -66,7 +75,9 @@
   };
   const auto recover_each = [this](std::uint32_t type, std::string_view body,
                                    const store::position& position) {
-    if (const std::optional<key_record> record = decode(type, body)) recover(*record, position);
+    const std::optional<key_record> record = decode(type, body);
+    if (!record) throw unknown_record(options_.folder, type);
+    recover(*record, position);
   };
   auto opened = std::make_unique<store::log>(files, log_options, expiry_of, recover_each);
   recovered_ = opened->counts();
@@ -83,7 +94,8 @@
   constexpr aging_time nothing_expired = 0;
   switch (record.type) {
     case record_type::intent:
-      table_.recover_intent(record.key, record.fingerprint, record.expiry, nothing_expired);
+      table_.recover_intent(record.key, record.fingerprint, record.expiry, servers_.index_of(record.server),
+                            nothing_expired);
       break;
     case record_type::result:
       table_.recover_result(record.key, record.fingerprint, record.expiry, position, nothing_expired);
@@ -147,7 +159,9 @@
                                claimant.key, salt_);
   const key_claim claim = claim_key(id, key, claimant.fingerprint, window, now());
   if (claim.status == claim_status::completed) readers_[id] = {key, claim.result_at};
-  return to_result(claim);
+  claim_result result = to_result(claim);
+  result.server = servers_.name_of(claim.server);
+  return result;
 }
 
 key_record durable_service::record_of(record_type type, const claimed_key& claimed) const {
@@ -175,11 +189,12 @@
 
 void durable_service::write_intent(request_id primary, const request& claimant) {
   const claimed_key& claimed = primary_key(primary);
-  table_.begin_intent(claimed.key);
+  table_.begin_intent(claimed.key, servers_.index_of(claimant.server));
   key_record record = record_of(record_type::intent, claimed);
   record.tenant = tenant_name(claimant.tenant);
   record.request_class = options_.classes.at(claimant.request_class);
   record.client_key = claimant.key;
+  record.server = claimant.server;
   write(primary, claimed, record);
 }
 
--- a/src/idempotency/durable_service.hpp
+++ b/src/idempotency/durable_service.hpp
@@ -13,6 +13,7 @@
 #include "idempotency/aging_clock.hpp"
 #include "idempotency/key_table_service.hpp"
 #include "idempotency/records.hpp"
+#include "idempotency/server_names.hpp"
 #include "store/committer.hpp"
 
 namespace marblewharf::idempotency {
@@ -24,9 +25,10 @@
   // Names by number. Keys are scoped by names, so that numbers may change between restarts.
   std::vector<std::string> classes;
   std::vector<std::string> tenants;
-  std::size_t max_key_bytes = 255;      // bytes
-  std::size_t max_result_bytes = 4096;  // bytes
-  std::size_t max_keys = 1'000'000;     // maximum number of known keys
+  std::size_t max_server_name_bytes = 0;  // bytes; 0 = no backend distinguishes servers
+  std::size_t max_key_bytes = 255;        // bytes
+  std::size_t max_result_bytes = 4096;    // bytes
+  std::size_t max_keys = 1'000'000;       // maximum number of known keys
   // Maximum number of open keys. A key is open from the arrival of its request to the result.
   std::size_t max_open_keys = 1024;
   std::size_t max_concurrent_reads = 1024;         // maximum number of concurrent reads of results
@@ -45,7 +47,8 @@
 class durable_service : public key_table_service {
  public:
   // Recovers the keys from the folder. `notify`: called from the committer's thread when step() has something
-  // to do. Throws store::io_error or store::damaged if the folder cannot be used.
+  // to do. Throws store::io_error or store::damaged if the folder cannot be used or has records that this
+  // version does not know.
   durable_service(store::file_system& files, durable_service_options options, telemetry::counters& counters,
                   std::function<void()> notify);
   ~durable_service() override;
@@ -95,6 +98,7 @@
   time_point now_;  // on the steady clock
   store::recovered_counts recovered_;
   std::uint64_t salt_ = 0;
+  server_names servers_;
   std::unordered_map<request_id, result_reader> readers_;  // requests that will fetch a result
   std::map<std::uint64_t, pending_write> writes_;          // by ticket
   std::unordered_map<std::uint64_t, request_id> reads_;    // by ticket
--- a/src/idempotency/key_table.cpp
+++ b/src/idempotency/key_table.cpp
@@ -20,12 +20,13 @@
 // A key may have several records in one folder, if it expired or was released and was claimed again. The
 // latest record applies.
 void key_table::recover_intent(const key_id& key, std::uint64_t fingerprint, aging_time expiry,
-                               aging_time now) {
+                               server_index server, aging_time now) {
   if (expiry <= now) return;
   entry& recovered = entries_[key];
   recovered = entry{};
   recovered.fingerprint = fingerprint;
   recovered.expiry = expiry;
+  recovered.server = server;
   recovered.state = key_state::outcome_unknown;
 }
 
@@ -79,7 +80,7 @@
   if (!may_inquire || !can_record_result) return {.status = claim_status::outcome_unknown};
   enter(known, key_state::inquiring);
   known.primary = id;
-  return {.status = claim_status::inquiry_primary, .primary = id};
+  return {.status = claim_status::inquiry_primary, .primary = id, .server = known.server};
 }
 
 key_claim key_table::claim_new(const key_id& key, std::uint64_t fingerprint, request_id id,
@@ -148,8 +149,11 @@
   return true;
 }
 
-bool key_table::begin_intent(const key_id& key) {
-  return transition(key, key_state::queued, key_state::writing_intent);
+bool key_table::begin_intent(const key_id& key, server_index server) {
+  const bool begun = transition(key, key_state::queued, key_state::writing_intent) ||
+                     transition(key, key_state::running, key_state::writing_intent);
+  if (begun) entries_.at(key).server = server;
+  return begun;
 }
 
 bool key_table::intent_written(const key_id& key) {
--- a/src/idempotency/key_table.hpp
+++ b/src/idempotency/key_table.hpp
@@ -26,6 +26,10 @@
 
 using aging_time = std::int64_t;  // ns on the aging_clock
 
+// A server of the backend, by its index in server_names.
+using server_index = std::uint32_t;
+inline constexpr server_index unnamed_server = 0;  // an intent that names no server
+
 // The state of a known key. An unknown key has no entry.
 //
 //   from              step                                      to
@@ -33,6 +37,7 @@
 //   (unknown)         claim(): primary                          queued
 //   queued            begin_intent()                            writing_intent
 //   writing_intent    intent_written()                          running
+//   running           begin_intent(): for another server        writing_intent
 //   running           begin_recording()                         recording_result
 //   running           mark_outcome_unknown()                    outcome_unknown
 //   outcome_unknown   claim(): inquiry_primary                  inquiring
@@ -60,6 +65,7 @@
   claim_status status = claim_status::primary;
   request_id primary = 0;                  // set for primary, inquiry_primary and coalesced
   store::position result_at{};             // set for completed
+  server_index server = unnamed_server;    // set for inquiry_primary
   std::chrono::nanoseconds retry_after{};  // set for no_capacity
 };
 
@@ -87,7 +93,8 @@
   // ---- Recovery -------------------------------------------------------------------------------------------
   // Called for each record on disk, in the order in which they were written. Records that have expired by
   // `now` are skipped.
-  void recover_intent(const key_id& key, std::uint64_t fingerprint, aging_time expiry, aging_time now);
+  void recover_intent(const key_id& key, std::uint64_t fingerprint, aging_time expiry, server_index server,
+                      aging_time now);
   void recover_result(const key_id& key, std::uint64_t fingerprint, aging_time expiry,
                       const store::position& result_at, aging_time now);
   void recover_release(const key_id& key);
@@ -101,7 +108,7 @@
 
   // State transitions of the key's primary; see key_state. False: the key is not in a state from which the
   // transition starts, and nothing was changed.
-  bool begin_intent(const key_id& key);
+  bool begin_intent(const key_id& key, server_index server = unnamed_server);
   bool intent_written(const key_id& key);
   bool begin_recording(const key_id& key);
   bool result_recorded(const key_id& key, const store::position& result_at, aging_time now);
@@ -133,8 +140,9 @@
     store::position result_at;
     request_id primary = 0;  // set for an open key
     key_state state = key_state::queued;
-    std::uint8_t inquiries_failed = 0;  // consecutively
-    aging_time inquire_after = 0;       // no inquiry before this time
+    std::uint8_t inquiries_failed = 0;     // consecutively
+    server_index server = unnamed_server;  // the server that the intent names
+    aging_time inquire_after = 0;          // no inquiry before this time
   };
   using entry_map = std::unordered_map<key_id, entry, key_id_hash>;
   struct expiring_key {
--- a/src/idempotency/records.cpp
+++ b/src/idempotency/records.cpp
@@ -10,7 +10,7 @@
 using text_size = std::uint16_t;
 
 constexpr std::size_t fixed_size = 48;  // bytes before the texts of an intent, or before the result
-constexpr std::size_t texts_per_intent = 3;
+constexpr std::size_t texts_per_intent = 4;
 
 template <typename T>
 void append_value(std::string& out, T value) {
@@ -59,6 +59,7 @@
     append_text(encoded.body, written.tenant);
     append_text(encoded.body, written.request_class);
     append_text(encoded.body, written.client_key);
+    if (!written.server.empty()) append_text(encoded.body, written.server);
   }
   if (written.type == record_type::result) encoded.body += written.result;
   return encoded;
@@ -79,9 +80,12 @@
     const auto request_class = tenant ? take_text(body) : std::nullopt;
     const auto client_key = request_class ? take_text(body) : std::nullopt;
     if (!client_key) return std::nullopt;
+    const auto server = body.empty() ? std::string_view() : take_text(body);
+    if (!server || !body.empty()) return std::nullopt;
     read.tenant = *tenant;
     read.request_class = *request_class;
     read.client_key = *client_key;
+    read.server = *server;
   }
   if (read.type == record_type::result) read.result = body;
   return read;
@@ -97,10 +101,9 @@
   return {hash.low64, hash.high64};
 }
 
-std::uint64_t max_intent_bytes(std::size_t longest_key, std::size_t longest_tenant,
-                               std::size_t longest_class) {
-  return store::max_bytes_on_disk(fixed_size + texts_per_intent * sizeof(text_size) + longest_key +
-                                  longest_tenant + longest_class);
+std::uint64_t max_intent_bytes(const intent_text_bytes& longest) {
+  return store::max_bytes_on_disk(fixed_size + texts_per_intent * sizeof(text_size) + longest.key +
+                                  longest.tenant + longest.request_class + longest.server);
 }
 
 std::uint64_t max_result_bytes(std::size_t largest_result) {
--- a/src/idempotency/records.hpp
+++ b/src/idempotency/records.hpp
@@ -24,6 +24,9 @@
   bool succeeded = false;  // in a result: whether the run succeeded
   // In an intent: the key as the client sent it, and its scope.
   std::string_view tenant{}, request_class{}, client_key{};
+  // In an intent: the server that the request is sent to. Empty: the backend does not distinguish servers, or
+  // an earlier version wrote the record.
+  std::string_view server{};
   std::string_view result{};  // in a result: the stored bytes
 };
 
@@ -37,8 +40,10 @@
                  std::uint64_t salt);
 
 // The size on disk of the largest possible record.
-std::uint64_t max_intent_bytes(std::size_t longest_key, std::size_t longest_tenant,
-                               std::size_t longest_class);
+struct intent_text_bytes {
+  std::size_t key = 0, tenant = 0, request_class = 0, server = 0;
+};
+std::uint64_t max_intent_bytes(const intent_text_bytes& longest);
 std::uint64_t max_result_bytes(std::size_t largest_result);
 
 }  // namespace marblewharf::idempotency
--- a/src/idempotency/results_command.cpp
+++ b/src/idempotency/results_command.cpp
@@ -16,7 +16,7 @@
 
 // The state of a key according to its records in the folder.
 struct recorded_key {
-  std::string tenant, request_class, client_key;
+  std::string tenant, request_class, client_key, server;
   aging_time expiry = 0;
   bool completed = false;
   bool succeeded = false;
@@ -57,6 +57,7 @@
   key.tenant = record.tenant;
   key.request_class = record.request_class;
   key.client_key = record.client_key;
+  key.server = record.server;
 }
 
 folder_content read_folder(const std::string& folder) {
@@ -74,6 +75,12 @@
   return key.succeeded ? "served" : "failed";
 }
 
+// Only this server can tell what became of a key whose outcome is unknown.
+std::string server_text(const recorded_key& key) {
+  if (key.completed || key.server.empty()) return {};
+  return " server=" + store::printable(key.server);
+}
+
 std::string utc_text(aging_time time) {
   const std::time_t seconds = static_cast<std::time_t>(time / ns_per_second);
   char text[32];
@@ -98,10 +105,10 @@
 
 void list_results(const results_query& query) {
   for (const auto& [id, key] : read_folder(query.folder).keys) {
-    std::printf("%s until=%s tenant=%s class=%s key=%s bytes=%" PRIu64 "\n", status_of(key),
+    std::printf("%s until=%s tenant=%s class=%s key=%s bytes=%" PRIu64 "%s\n", status_of(key),
                 utc_text(key.expiry).c_str(), store::printable(key.tenant).c_str(),
                 store::printable(key.request_class).c_str(), store::printable(key.client_key).c_str(),
-                key.result_size);
+                key.result_size, server_text(key).c_str());
   }
 }
 
--- a/src/server/durable_idempotency.cpp
+++ b/src/server/durable_idempotency.cpp
@@ -1,5 +1,6 @@
 #include "server/durable_idempotency.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cinttypes>
 #include <cstdint>
@@ -20,6 +21,10 @@
   for (const auto& request_class : settings.policy_settings.classes)
     options.classes.push_back(request_class.name);
   for (const auto& tenant : settings.policy_settings.tenants) options.tenants.push_back(tenant.name);
+  if (settings.uwsgi) {
+    for (const endpoint& server : settings.uwsgi->servers)
+      options.max_server_name_bytes = std::max(options.max_server_name_bytes, name_of(server).size());
+  }
   options.max_key_bytes = keyed.max_key_bytes;
   options.max_result_bytes = settings.bounds.max_result_bytes + settings.bounds.max_response_head_bytes;
   options.max_keys = keyed.max_keys;
--- a/src/server/price_node.cpp
+++ b/src/server/price_node.cpp
@@ -95,7 +95,7 @@
 
 // Chains the backends: each backend passes requests that it does not handle to the backend created before it.
 backend& price_node::make_uwsgi_backend() {
-  uwsgi_client_.emplace(reactor_, config_, dispatcher_);
+  uwsgi_client_.emplace(reactor_, config_, dispatcher_, counters_);
   backend* outermost = &*uwsgi_client_;
   if (config_.dependencies)
     outermost = &fan_out_client_.emplace(reactor_, config_, dispatcher_, *uwsgi_client_);
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -41,6 +41,8 @@
   std::uint64_t coalesced_duplicates = 0;  // duplicates coalesced with a primary that was queued or running
   std::uint64_t duplicates_of_unknown_outcome = 0;  // duplicates answered with an unknown outcome
   std::uint64_t key_conflicts = 0;                  // requests whose key was used before with other content
+  // Inquiries that the server of the request did not answer: it is away, not in the settings, or hung up.
+  std::uint64_t inquiries_without_server = 0;
   std::uint64_t rejected_for_key_capacity = 0;  // requests rejected because their key could not be recorded
   std::uint64_t background_faults = 0;          // damaged data found by scrubbing, and jobs that failed
   // Current state of the idempotency store: keys in the table, keys whose outcome is unknown, bytes that
--- a/src/transaction/coordinator.hpp
+++ b/src/transaction/coordinator.hpp
@@ -49,6 +49,8 @@
   ~coordinator() override;
 
   // Interface of backend.
+  std::optional<std::string> choose_server(const request& client_request,
+                                           const std::vector<std::string>& unreachable) override;
   void run(request_id id, const request& client_request) override;
   void pause(request_id id) override;
   void resume(request_id id) override;
--- a/src/transaction/coordinator_intake.cpp
+++ b/src/transaction/coordinator_intake.cpp
@@ -41,6 +41,12 @@
   return rejected ? std::optional(rejected->retry_after) : std::nullopt;
 }
 
+std::optional<std::string> coordinator::choose_server(const request& client_request,
+                                                      const std::vector<std::string>& unreachable) {
+  if (plan_of(client_request) != nullptr) return std::string();
+  return fan_out_.choose_server(client_request, unreachable);
+}
+
 void coordinator::run(request_id id, const request& client_request) {
   const transaction_plan* plan = plan_of(client_request);
   if (plan == nullptr) {
--- a/src/transaction/open_transaction.cpp
+++ b/src/transaction/open_transaction.cpp
@@ -21,7 +21,7 @@
   std::string joined;
   for (const participant_call& call : transaction.calls) {
     if (!joined.empty()) joined += ' ';
-    joined += call.address.host + ":" + std::to_string(call.address.port);
+    joined += name_of(call.address);
   }
   return joined;
 }
--- a/src/uwsgi/client.cpp
+++ b/src/uwsgi/client.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace marblewharf::uwsgi {
@@ -29,55 +30,86 @@
   const time_point started_at = net::steady_now();
   std::shared_ptr<exchange> current_exchange;
   std::size_t server = 0;
+  bool server_is_named = false;  // only this server may be tried
   unsigned servers_tried = 0;
-  unsigned servers_without_request = 0;  // inquiry: servers that never saw the request
-  bool may_have_arrived = false;         // a byte of it may have arrived at a server
+  bool may_have_arrived = false;  // a byte of it may have arrived at a server
 };
 
-client::client(net::reactor& reactor, const config& settings, dispatcher& requests)
-    : reactor_(reactor), config_(settings), dispatcher_(requests), load_(settings.uwsgi->servers.size()) {}
+client::client(net::reactor& reactor, const config& settings, dispatcher& requests,
+               telemetry::counters& counters)
+    : reactor_(reactor),
+      config_(settings),
+      dispatcher_(requests),
+      counters_(counters),
+      load_(settings.uwsgi->servers.size()) {
+  for (const endpoint& server : settings.uwsgi->servers) server_names_.push_back(name_of(server));
+}
 
 client::~client() = default;
 
-std::size_t client::least_loaded() const {
-  std::size_t best = (last_server_ + 1) % load_.size();
+std::optional<std::size_t> client::least_loaded(const std::vector<std::string>& excluded) const {
+  std::optional<std::size_t> best;
   for (std::size_t i = 0; i < load_.size(); ++i) {
     const std::size_t next = (last_server_ + 1 + i) % load_.size();
-    if (load_[next] < load_[best]) best = next;
+    if (std::find(excluded.begin(), excluded.end(), server_names_[next]) != excluded.end()) continue;
+    if (!best || load_[next] < load_[*best]) best = next;
   }
   return best;
 }
 
+std::optional<std::size_t> client::server_named(std::string_view name) const {
+  const auto found = std::find(server_names_.begin(), server_names_.end(), name);
+  if (found == server_names_.end()) return std::nullopt;
+  return static_cast<std::size_t>(found - server_names_.begin());
+}
+
+std::optional<std::string> client::choose_server(const request&,
+                                                 const std::vector<std::string>& unreachable) {
+  const std::optional<std::size_t> chosen = least_loaded(unreachable);
+  if (!chosen) return std::nullopt;
+  last_server_ = *chosen;
+  return server_names_[*chosen];
+}
+
 void client::run(request_id id, const request& details) {
   const bool safe =
       config_.policy_settings.classes[details.request_class].effect == admission_policy::request_effect::safe;
-  begin(std::make_shared<attempt>(id, details.payload, safe, false));
+  begin(std::make_shared<attempt>(id, details.payload, safe, false), server_named(details.server));
 }
 
 bool client::inquire(request_id id, const request& details) {
   if (!config_.keyed || config_.keyed->inquiry_var.empty()) return false;
   const std::optional<packet> original = next_packet(details.payload, config_.bounds);
   if (!original) return false;
+  const std::optional<std::size_t> server = server_named(details.server);
+  if (!details.server.empty() && !server) {
+    ++counters_.inquiries_without_server;
+    log("uwsgi-server", "cannot inquire about a request: its server %s is not in the settings",
+        details.server.c_str());
+    return false;
+  }
   std::vector<std::pair<std::string, std::string>> vars;
   for (const auto& [name, value] : original->vars) {
     if (name != "CONTENT_LENGTH" && name != config_.keyed->inquiry_var) vars.emplace_back(name, value);
   }
   vars.emplace_back(config_.keyed->inquiry_var, config_.keyed->inquiry_value);
   vars.emplace_back("CONTENT_LENGTH", "0");
-  begin(std::make_shared<attempt>(id, encode_packet(vars, {}), true, true));
+  begin(std::make_shared<attempt>(id, encode_packet(vars, {}), true, true), server);
   return true;
 }
 
-void client::begin(const std::shared_ptr<attempt>& new_attempt) {
-  new_attempt->server = least_loaded();
+void client::begin(const std::shared_ptr<attempt>& new_attempt, std::optional<std::size_t> server) {
+  new_attempt->server_is_named = server.has_value();
+  new_attempt->server = server.value_or(least_loaded({}).value_or(0));
   ++load_[new_attempt->server];
   attempts_.emplace(new_attempt->id, new_attempt);
   try_next_server(new_attempt);
 }
 
-// Tries each server at most once, in turn, starting with the least loaded one.
+// Tries each server at most once, in turn, starting with the least loaded one, or only the named server.
 void client::try_next_server(const std::shared_ptr<attempt>& current) {
-  while (current->servers_tried < load_.size()) {
+  const std::size_t max_servers = current->server_is_named ? 1 : load_.size();
+  while (current->servers_tried < max_servers) {
     if (current->servers_tried++ > 0) {
       --load_[current->server];
       current->server = (current->server + 1) % load_.size();
@@ -101,11 +133,23 @@
 // Called when no server is left to try.
 void client::finish_unanswered(attempt& finished) {
   if (!finished.inquiry) {
-    finish(finished, finished.may_have_arrived ? run_end::lost : run_end::never_started, {});
+    finish_run_unanswered(finished);
     return;
   }
-  const bool seen_by_none = finished.servers_without_request == load_.size();
-  finish_inquiry(finished, seen_by_none ? inquiry_outcome::never_ran : inquiry_outcome::unknown, {});
+  if (finished.server_is_named) ++counters_.inquiries_without_server;
+  finish_inquiry(finished, inquiry_outcome::unknown, {});
+}
+
+void client::finish_run_unanswered(attempt& finished) {
+  if (finished.may_have_arrived) {
+    finish(finished, run_end::lost, {});
+  } else if (finished.server_is_named) {
+    const request_id id = finished.id;
+    remove(finished);
+    dispatcher_.on_server_unreachable(id);
+  } else {
+    finish(finished, run_end::never_started, {});
+  }
 }
 
 void client::on_end(const std::shared_ptr<attempt>& ended, exchange_end end, const response_head* head,
@@ -150,8 +194,12 @@
     finish_inquiry(*current, inquiry_outcome::completed, response);
     return;
   }
-  if (status == not_found_status) ++current->servers_without_request;
-  continue_at_next_server(current);
+  if (!current->server_is_named) {
+    continue_at_next_server(current);
+    return;
+  }
+  const bool never_ran = status == not_found_status;
+  finish_inquiry(*current, never_ran ? inquiry_outcome::never_ran : inquiry_outcome::unknown, {});
 }
 
 void client::remove(attempt& finished) {
--- a/src/uwsgi/client.hpp
+++ b/src/uwsgi/client.hpp
@@ -1,8 +1,12 @@
 // Runs requests on uwsgi servers, with one connection for each attempt. A request that is not safe to repeat
-// is never sent again once a byte of it may have arrived at a server.
+// is never sent again once a byte of it may have arrived at a server. A keyed request is sent only to the
+// server that its intent names.
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -15,18 +19,20 @@
 class client : public backend {
  public:
   // All arguments outlive the client.
-  client(net::reactor& reactor, const config& settings, dispatcher& requests);
+  client(net::reactor& reactor, const config& settings, dispatcher& requests, telemetry::counters& counters);
   ~client() override;
 
   // backend
+  std::optional<std::string> choose_server(const request& details,
+                                           const std::vector<std::string>& unreachable) override;
   void run(request_id id, const request& details) override;
   // Aborts the attempt, because the protocol has no pause.
   void pause(request_id id) override;
   void resume(request_id) override {}
   // Asks for the outcome of a keyed request: sends the request's vars, the inquiry var of the settings and no
-  // body to one server after another, because it is not known which of them the request was sent to. Response
-  // status 2xx: the response is the request's result; 404: this server never saw the request. The request is
-  // proven never to have run only if all servers say so.
+  // body to the server that got the request. Response status 2xx: the response is the request's result; 404:
+  // the server never saw the request, so it never ran. If the server is not known, one server after another
+  // is asked for the result, and no 404 proves anything. False if the server is not in the settings.
   bool inquire(request_id id, const request& details) override;
 
   std::size_t running() const { return attempts_.size(); }
@@ -34,25 +40,31 @@
  private:
   struct attempt;
 
-  std::size_t least_loaded() const;
+  // The least loaded server that is not among `excluded`; none if all are.
+  std::optional<std::size_t> least_loaded(const std::vector<std::string>& excluded) const;
+  std::optional<std::size_t> server_named(std::string_view name) const;
   // Connects to the next server that has not been tried yet; finishes the attempt if there is none.
   void try_next_server(const std::shared_ptr<attempt>& current);
   void continue_at_next_server(const std::shared_ptr<attempt>& current);
   void on_inquiry_response(const std::shared_ptr<attempt>& current, unsigned status,
                            std::string_view response);
   void finish_unanswered(attempt& finished);
+  void finish_run_unanswered(attempt& finished);
   void on_end(const std::shared_ptr<attempt>& ended, exchange_end end, const response_head* head,
               std::string_view response);
   void finish(attempt& finished, run_end end, std::string_view response);
   void finish_inquiry(attempt& finished, inquiry_outcome outcome, std::string_view response);
   // Closes the attempt's connection and forgets the attempt.
   void remove(attempt& finished);
-  void begin(const std::shared_ptr<attempt>& new_attempt);
+  // `server`: the only server to try; none: all, beginning with the least loaded one.
+  void begin(const std::shared_ptr<attempt>& new_attempt, std::optional<std::size_t> server);
 
   net::reactor& reactor_;
   const config& config_;
   dispatcher& dispatcher_;
+  telemetry::counters& counters_;
   std::unordered_map<request_id, std::shared_ptr<attempt>> attempts_;
+  std::vector<std::string> server_names_;
   std::vector<unsigned> load_;   // attempts in progress, by server
   std::size_t last_server_ = 0;  // server used last; equally loaded servers are used in turn
 };
