Keep stale parts under a key that cannot be built without the member

Cause: the cache of last responses was kept under a hash of method, path, query and body, without the member, so that one member's stale part was given to another whose request had the same content.

Change: core/content_key (member and content) is the only key of the cache; begin_fan_out and gathering::gather build it, and the cache compares it whole, not by a hash alone. A part is kept for all members only with `shared = yes` in its section (embedders: part_of::shared); the default is no. For embedders: gather() takes a subject of member and object in place of a number.

Tests: dependencies.stale_by_member failed with the program of (dependencies_test.cpp:169, the other member got the stale part) and passes now; dependencies.shared_part and gathering.stale_by_member are new. Measured: 38 of 38 tests of the fan-out, gathering, dependencies, settings and embedding suites pass; the whole suite was not run on this commit.

--- a/include/marblewharf/gathering.hpp
+++ b/include/marblewharf/gathering.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marblewharf::middleware {
@@ -57,17 +58,32 @@
 // A fallback: the first of these members that is set.
 struct stand_in_for {
   std::string source;  // another source, from which the part is requested
-  // Maximum age for a fallback to the last successful part of the same subject.
+  // Maximum age for a fallback to the last successful part of the same subject, or, for a shared part, of the
+  // same object.
   std::chrono::nanoseconds oldest{};
   std::string fixed;  // a fixed text that becomes the part; empty: not set
 };
 
+// Whom an answer is for and what it describes.
+class subject {
+ public:
+  // `member`: the authenticated customer that asks. `object`: the id of the object that the parts describe.
+  subject(std::string_view member, std::uint64_t object) : member_(member), object_(object) {}
+  const std::string& member() const { return member_; }
+  std::uint64_t object() const { return object_; }
+
+ private:
+  std::string member_;
+  std::uint64_t object_;
+};
+
 // One part of the answer and the source that it comes from.
 struct part_of {
   std::string name;
   std::string source;
   bool required = false;                // the answer fails without this part
   std::vector<stand_in_for> stand_ins;  // fallbacks, tried in this order
+  bool shared = false;                  // equal for all members: a stale part may be that of another member
 };
 
 enum class part_state { missing, fresh, stale, stand_in };
@@ -96,8 +112,8 @@
   gathering& operator=(const gathering&) = delete;
 
   // Blocks until every part has a result or a fallback, `within` has passed, or a required part has failed.
-  // `subject`: the id of the object that the parts describe; a stale fallback has the same subject.
-  gathered gather(std::uint64_t subject, std::chrono::nanoseconds within);
+  // A stale fallback has the same subject; that of a shared part has the same object.
+  gathered gather(const subject& about, std::chrono::nanoseconds within);
 
   // Reports what the embedder knows about an endpoint, for example that its zone is down. An unreachable
   // endpoint gets no calls until it is reported reachable. Throws std::invalid_argument for an unknown
--- a/src/config/sections/parts.cpp
+++ b/src/config/sections/parts.cpp
@@ -52,6 +52,7 @@
   plan.name = title;
   plan.dependency = index_of_dependency(part, "from", part.required_text("from"), dependencies);
   plan.required = part.flag("required");
+  plan.shared = part.flag("shared");
   for (const std::string& text : part.texts("fallback"))
     plan.fallbacks.push_back(parse_fallback(part, text, dependencies));
   return plan;
@@ -84,9 +85,10 @@
 }  // namespace
 
 schema part_schema() {
-  static cfg_opt_t options[] = {CFG_STR("class", nullptr, CFGF_NONE), CFG_STR("from", nullptr, CFGF_NONE),
-                                CFG_STR("required", "no", CFGF_NONE),
-                                CFG_STR_LIST("fallback", nullptr, CFGF_NONE), CFG_END()};
+  static cfg_opt_t options[] = {
+      CFG_STR("class", nullptr, CFGF_NONE),         CFG_STR("from", nullptr, CFGF_NONE),
+      CFG_STR("required", "no", CFGF_NONE),         CFG_STR("shared", "no", CFGF_NONE),
+      CFG_STR_LIST("fallback", nullptr, CFGF_NONE), CFG_END()};
   return {.name = "part", .options = options, .titled = true};
 }
 
--- a/src/fan_out/client.cpp
+++ b/src/fan_out/client.cpp
@@ -110,7 +110,8 @@
   const time_point now = net::steady_now();
   run.fan_out_begun = true;
   run.fan_out_begun_at = now;
-  state_machine_.begin(id, run.plan, run.client_request.fingerprint, deadline, now);
+  const std::string& tenant = config_.policy_settings.tenants.at(run.client_request.tenant).name;
+  state_machine_.begin(id, run.plan, {tenant, run.client_request.fingerprint}, deadline, now);
   apply_actions();
 }
 
--- a/src/fan_out/response_cache.cpp
+++ b/src/fan_out/response_cache.cpp
@@ -1,31 +1,32 @@
 #include "fan_out/response_cache.hpp"
 
 #include <iterator>
+#include <utility>
 
 namespace marblewharf::fan_out {
 
 void response_cache::erase(std::list<entry>::iterator position) {
-  total_bytes_ -= position->bytes.size() + entry_overhead_bytes;
+  total_bytes_ -= size_of(*position);
   index_.erase(position->key);
   entries_.erase(position);
 }
 
-void response_cache::put(std::size_t dependency, std::uint64_t subject, const std::string& bytes,
+void response_cache::put(std::size_t dependency, const content_key& content, const std::string& bytes,
                          time_point now) {
-  const std::uint64_t key = key_of(dependency, subject);
-  if (const auto previous = index_.find(key); previous != index_.end()) erase(previous->second);
-  const std::size_t size = bytes.size() + entry_overhead_bytes;
+  entry stored{{dependency, content}, bytes, now};
+  if (const auto previous = index_.find(stored.key); previous != index_.end()) erase(previous->second);
+  const std::size_t size = size_of(stored);
   if (size > capacity_bytes_) return;
-  entries_.push_front({key, bytes, now});
-  index_[key] = entries_.begin();
+  entries_.push_front(std::move(stored));
+  index_.emplace(entries_.front().key, entries_.begin());
   total_bytes_ += size;
   while (total_bytes_ > capacity_bytes_) erase(std::prev(entries_.end()));
 }
 
 std::optional<response_cache::cached_response> response_cache::get(std::size_t dependency,
-                                                                   std::uint64_t subject, duration max_age,
-                                                                   time_point now) {
-  const auto found = index_.find(key_of(dependency, subject));
+                                                                   const content_key& content,
+                                                                   duration max_age, time_point now) {
+  const auto found = index_.find({dependency, content});
   if (found == index_.end()) return std::nullopt;
   const auto cached = found->second;
   const duration age = now - cached->stored_at;
--- a/src/fan_out/state_machine.cpp
+++ b/src/fan_out/state_machine.cpp
@@ -25,15 +25,11 @@
   return found == requests_.end() ? nullptr : &found->second;
 }
 
-void state_machine::begin(fan_out_id id, std::size_t plan, std::uint64_t subject, time_point deadline,
+void state_machine::begin(fan_out_id id, std::size_t plan, const content_key& content, time_point deadline,
                           time_point now) {
   const std::size_t parts = plans_[plan].parts.size();
-  open_request& request = requests_[id];
-  request.plan = plan;
-  request.subject = subject;
-  request.deadline = deadline;
-  request.open_sub_requests = parts;
-  request.sub_requests.resize(parts);
+  requests_.insert_or_assign(id, open_request{plan, content, deadline, parts, {}});
+  find(id)->sub_requests.resize(parts);
   // A required sub-request whose response is missing ends the request, so the loop stops.
   for (std::size_t i = 0; i < parts && find(id) != nullptr; ++i) try_source(id, i, now);
 }
@@ -81,10 +77,14 @@
   place(id, part, now);
 }
 
+content_key state_machine::cached_content(const open_request& request, std::size_t part) const {
+  return plans_[request.plan].parts[part].shared ? request.content.for_all_tenants() : request.content;
+}
+
 void state_machine::try_stale(fan_out_id id, std::size_t part, duration max_age, time_point now) {
   const open_request& request = *find(id);
   const std::size_t dependency = plans_[request.plan].parts[part].dependency;
-  if (const auto cached = cache_.get(dependency, request.subject, max_age, now)) {
+  if (const auto cached = cache_.get(dependency, cached_content(request, part), max_age, now)) {
     complete(id, part, {sub_response_state::stale, cached->age, *cached->bytes}, now);
   } else {
     fall_back(id, part, now);
@@ -173,7 +173,8 @@
 void state_machine::on_response(const call& ended_call, std::string bytes, time_point now) {
   const open_request& request = *find(ended_call.request);
   const bool from_own_dependency = request.sub_requests[ended_call.part].source == 0;
-  if (from_own_dependency) cache_.put(ended_call.dependency, request.subject, bytes, now);
+  if (from_own_dependency)
+    cache_.put(ended_call.dependency, cached_content(request, ended_call.part), bytes, now);
   complete(
       ended_call.request, ended_call.part,
       {from_own_dependency ? sub_response_state::fresh : sub_response_state::fallback, {}, std::move(bytes)},
--- a/src/fan_out/state_machine.hpp
+++ b/src/fan_out/state_machine.hpp
@@ -40,6 +40,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/content_key.hpp"
 #include "fan_out/dependency_state.hpp"
 #include "fan_out/messages.hpp"
 #include "fan_out/response_cache.hpp"
@@ -55,9 +56,11 @@
                 const std::vector<upstream::dependency_rules>& rules, std::size_t cache_bytes,
                 std::uint64_t seed);
 
-  // Starts a request. `plan`: index of its plan. `subject`: identifies the content of the request; a stale
-  // response is used only for the same subject. `deadline`: the latest time for `request_finished`.
-  void begin(fan_out_id id, std::size_t plan, std::uint64_t subject, time_point deadline, time_point now);
+  // Starts a request. `plan`: index of its plan. `content`: whose request it is and what it asks for; a stale
+  // response is used only for the same content and, unless the part is shared, the same tenant. `deadline`:
+  // the latest time for `request_finished`.
+  void begin(fan_out_id id, std::size_t plan, const content_key& content, time_point deadline,
+             time_point now);
   // Reports the end of a call. `bytes`: the response, after a success. `retry_after`: after a rejection.
   void on_result(call_id id, call_result result, std::string bytes, duration retry_after, time_point now);
   // Cancels a request because its client has disconnected; there is no `request_finished` for it.
@@ -101,7 +104,7 @@
   };
   struct open_request {
     std::size_t plan = 0;
-    std::uint64_t subject = 0;
+    content_key content;
     time_point deadline{};
     std::size_t open_sub_requests = 0;
     std::vector<sub_request> sub_requests;  // in the order of the plan
@@ -126,6 +129,8 @@
   sub_request& sub_request_of(fan_out_id id, std::size_t part) { return find(id)->sub_requests[part]; }
   void try_source(fan_out_id id, std::size_t part, time_point now);
   void try_dependency(fan_out_id id, std::size_t part, std::size_t dependency, time_point now);
+  // The key under which the response of a part is cached.
+  content_key cached_content(const open_request& request, std::size_t part) const;
   void try_stale(fan_out_id id, std::size_t part, duration max_age, time_point now);
   void fall_back(fan_out_id id, std::size_t part, time_point now);
   void complete(fan_out_id id, std::size_t part, sub_response response, time_point now);
--- a/src/middleware/gathering.cpp
+++ b/src/middleware/gathering.cpp
@@ -59,13 +59,13 @@
     for (std::thread& thread : threads_) thread.join();
   }
 
-  gathered gather(std::uint64_t subject, duration within) {
+  gathered gather(const subject& about, duration within) {
     std::unique_lock lock(mutex_);
     const fan_out::fan_out_id id = next_id();
     pending_gathering pending;
     pending_.emplace(id, &pending);
     const time_point now = steady_now();
-    state_machine_.begin(id, 0, subject, now + within, now);
+    state_machine_.begin(id, 0, {about.member(), about.object()}, now + within, now);
     apply_actions();
     changed_.notify_all();
     changed_.wait(lock, [&pending] { return pending.done; });
@@ -225,8 +225,8 @@
   impl_->set_reachable(name, endpoint, reachable);
 }
 
-gathered gathering::gather(std::uint64_t subject, std::chrono::nanoseconds within) {
-  return impl_->gather(subject, within);
+gathered gathering::gather(const subject& about, std::chrono::nanoseconds within) {
+  return impl_->gather(about, within);
 }
 
 }  // namespace marblewharf::middleware
--- a/src/middleware/gathering_plan.cpp
+++ b/src/middleware/gathering_plan.cpp
@@ -42,7 +42,7 @@
 
 upstream::sub_request_plan plan_of_part(const std::vector<source>& sources, const part_of& described) {
   upstream::sub_request_plan plan{
-      described.name, find_source(sources, described.source), described.required, {}};
+      described.name, find_source(sources, described.source), described.required, {}, described.shared};
   for (const stand_in_for& fallback : described.stand_ins)
     plan.fallbacks.push_back(fallback_of(sources, fallback));
   return plan;
--- a/src/upstream/plan.hpp
+++ b/src/upstream/plan.hpp
@@ -50,6 +50,7 @@
   std::size_t dependency = 0;  // index of its own dependency
   bool required = false;       // the request fails if this part is missing
   std::vector<fallback> fallbacks;
+  bool shared = false;  // equal for all tenants: a stale response may be that of another tenant
 };
 
 struct request_plan {
--- a/tests/fan_out/library_test.cpp
+++ b/tests/fan_out/library_test.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+const subject quotes("isar-invest", 1);
+
 source_call returns(const std::string& bytes) {
   return [bytes](const call_terms&) { return bytes; };
 }
@@ -33,7 +35,7 @@
       {{"kurs", "kurse", false, {}}, {"name", "stamm", false, {{.source = "", .oldest = 0s, .fixed = "?"}}}},
       2s);
   const auto begin = std::chrono::steady_clock::now();
-  const gathered result = fan_out.gather(1, 1s);
+  const gathered result = fan_out.gather(quotes, 1s);
   CHECK(!result.complete && !result.failed && result.parts[0].state == part_state::fresh &&
         result.parts[0].bytes == "101.42");
   CHECK(result.parts[1].state == part_state::stand_in && result.parts[1].bytes == "?");
@@ -42,7 +44,7 @@
   std::vector<std::thread> callers;
   std::atomic<int> fresh = 0;
   for (int i = 0; i < 32; ++i)
-    callers.emplace_back([&] { fresh += fan_out.gather(1, 1s).parts[0].state == part_state::fresh; });
+    callers.emplace_back([&] { fresh += fan_out.gather(quotes, 1s).parts[0].state == part_state::fresh; });
   for (std::thread& caller : callers) caller.join();
   CHECK(fresh == 32 && cancelled > 0);
 }
@@ -58,10 +60,10 @@
         .endpoints = {fails, [&](const call_terms&) { return ++succeeded, std::string("x"); }}}},
       {{"kurs", "kurse", true, {}}}, 2s);
   int served = 0;
-  for (int i = 0; i < 20; ++i) served += !fan_out.gather(1, 1s).failed;
+  for (int i = 0; i < 20; ++i) served += !fan_out.gather(quotes, 1s).failed;
   CHECK(served >= 15 && succeeded >= served);
   gathering rejecting({{.name = "kurse", .endpoints = {busy}}}, {{"kurs", "kurse", true, {}}}, 2s);
-  CHECK(rejecting.gather(1, 1s).failed && rejecting.gather(1, 1s).failed);
+  CHECK(rejecting.gather(quotes, 1s).failed && rejecting.gather(quotes, 1s).failed);
 }
 
 // Guards against calls to a distant endpoint while a nearer one is reachable.
@@ -74,10 +76,10 @@
                       .endpoints = {counts(0), counts(1), counts(2)},
                       .where = {nearness::elsewhere, nearness::own_zone, nearness::own_region}}},
                     {{"kurs", "kurse", true, {}}}, 2s);
-  for (int i = 0; i < 30; ++i) CHECK(!fan_out.gather(1, 1s).failed);
+  for (int i = 0; i < 30; ++i) CHECK(!fan_out.gather(quotes, 1s).failed);
   CHECK(calls[0] == 0 && calls[1] == 30 && calls[2] == 0);
   fan_out.set_reachable("kurse", 1, false);
-  for (int i = 0; i < 30; ++i) CHECK(!fan_out.gather(1, 1s).failed);
+  for (int i = 0; i < 30; ++i) CHECK(!fan_out.gather(quotes, 1s).failed);
   CHECK(calls[0] == 0 && calls[1] == 30 && calls[2] == 30);
   try {
     fan_out.set_reachable("kurse", 3, false);
@@ -105,12 +107,38 @@
         "part p falls back on a, which the part already calls");
 }
 
+// Guards against a stale part of one member in the answer to another, unless the part is shared.
+void stale_parts_stay_with_their_member() {
+  std::atomic<bool> down = false;
+  const source_call fails_when_down = [&down](const call_terms&) -> std::string {
+    if (down) throw std::runtime_error("down");
+    return "100 units";
+  };
+  const std::vector<stand_in_for> stale_then_fixed = {{.source = "", .oldest = 1min, .fixed = ""},
+                                                      {.source = "", .oldest = 0s, .fixed = "?"}};
+  gathering fan_out({{.name = "depot", .endpoints = {fails_when_down}, .tries = 1},
+                     {.name = "stamm", .endpoints = {fails_when_down}, .tries = 1}},
+                    {{"depot", "depot", false, stale_then_fixed},
+                     {.name = "stamm", .source = "stamm", .stand_ins = stale_then_fixed, .shared = true}},
+                    2s);
+  const subject first("isar-invest", 1), second("lech-vermoegen", 1);
+  CHECK(fan_out.gather(first, 1s).complete);
+  down = true;
+  const gathered own = fan_out.gather(first, 1s);
+  CHECK(own.parts[0].state == part_state::stale && own.parts[1].state == part_state::stale);
+  const gathered others = fan_out.gather(second, 1s);
+  CHECK(others.parts[0].state == part_state::stand_in && others.parts[0].bytes == "?");
+  CHECK(others.parts[1].state == part_state::stale);
+  CHECK(fan_out.gather(subject("isar-invest", 2), 1s).parts[1].state == part_state::stand_in);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {{"hanging_source", hanging_source_is_replaced},
                                                    {"retry", failed_call_is_retried_at_another_endpoint},
                                                    {"locality", near_endpoints_are_preferred},
+                                                   {"stale_by_member", stale_parts_stay_with_their_member},
                                                    {"plans", invalid_plans_are_rejected}};
   tests.at(argv[1])();
   return 0;
--- a/tests/fan_out/state_machine_test.cpp
+++ b/tests/fan_out/state_machine_test.cpp
@@ -56,10 +56,10 @@
       }
     }
   }
-  void begin(fan_out_id id, duration budget, std::uint64_t subject = 1) {
+  void begin(fan_out_id id, duration budget, const marblewharf::content_key& content = {"isar-invest", 1}) {
     deadline[id] = now + budget;
     begun_at[id] = now;
-    machine.begin(id, 0, subject, now + budget, now);
+    machine.begin(id, 0, content, now + budget, now);
     apply_actions();
   }
   // Advances the virtual time to `end`; ends calls and runs timers in order of their time.
--- a/tests/net/dependencies_test.cpp
+++ b/tests/net/dependencies_test.cpp
@@ -46,13 +46,12 @@
     price_node = std::make_unique<node>(fake_runtime, o);
     fake_runtime.up();
   }
-  connection ask(const std::string& query = "q=1", const std::string& path = "/kurs/liste") {
+  connection ask(const std::string& query = "q=1", const std::string& path = "/kurs/liste",
+                 const std::string& tenant = "isar-invest") {
     connection c = connection::to(uwsgi_port);
-    c.send(uwsgi_peer::packet({{"PATH_INFO", path},
-                               {"REMOTE_USER", "isar-invest"},
-                               {"QUERY_STRING", query},
-                               {"CONTENT_LENGTH", "2"}},
-                              "in"));
+    c.send(uwsgi_peer::packet(
+        {{"PATH_INFO", path}, {"REMOTE_USER", tenant}, {"QUERY_STRING", query}, {"CONTENT_LENGTH", "2"}},
+        "in"));
     return c;
   }
   std::string answer(const std::string& query = "q=1") { return ask(query).rest(); }
@@ -160,6 +159,28 @@
   s.price_node->logged("dependencies: kurse ");
 }
 
+// Guards against a stale part of one member in the answer to another.
+void stale_parts_stay_with_their_member() {
+  site s("part kurse {\n class = kurs-abfrage\n from = kurse\n fallback = {\"stale 30s\", \"fixed -\"}\n}\n");
+  CHECK(part(s.answer(), "kurse") == "fresh 101.42");
+  s.kurse1.change(behaves(manner::error));
+  s.kurse2.change(behaves(manner::error));
+  CHECK(part(s.answer(), "kurse") == "stale 101.42");
+  CHECK(part(s.ask("q=1", "/kurs/liste", "lech-vermoegen").rest(), "kurse") == "stand-in -");
+}
+
+// A part that the settings declare common to all members may be that of another member.
+void shared_parts_are_common_to_all_members() {
+  site s(
+      "part kurse {\n class = kurs-abfrage\n from = kurse\n shared = yes\n fallback = {\"stale 30s\", "
+      "\"fixed -\"}\n}\n");
+  CHECK(part(s.answer(), "kurse") == "fresh 101.42");
+  s.kurse1.change(behaves(manner::error));
+  s.kurse2.change(behaves(manner::error));
+  CHECK(part(s.ask("q=1", "/kurs/liste", "lech-vermoegen").rest(), "kurse") == "stale 101.42");
+  CHECK(part(s.answer("q=other"), "kurse") == "stand-in -");
+}
+
 // When a required part fails, the request fails at once without waiting for the other parts.
 void missing_required_part_fails_the_request() {
   site s("part kurse {\n class = kurs-abfrage\n from = kurse\n required = yes\n}\n" +
@@ -245,6 +266,8 @@
       {"stalled_dependency", stalled_dependency_gives_a_partial_response},
       {"next_endpoint", next_attempt_goes_to_another_endpoint},
       {"fallbacks", fallbacks_are_tried_in_order},
+      {"stale_by_member", stale_parts_stay_with_their_member},
+      {"shared_part", shared_parts_are_common_to_all_members},
       {"required_part", missing_required_part_fails_the_request},
       {"recovered_endpoints", recovered_endpoints_are_used_again},
       {"disconnect_and_shutdown", client_disconnect_and_shutdown_during_fan_out},
