Continue an open write by the names of its participants, or leave it open and say so

Cause: the begin record listed endpoints in the order of `participants`, and recovery laid them one by one on the plan of the settings at the start. After a reorder, removal, rename or new address steps went to another participant, under another's path, or to none. The key of a transaction that recovery set aside was taken as never run.

Change: the begin record names each participant, its endpoint, whether it can prepare and how many endpoints it had; transaction/participant_placement finds them by name. What is missing or ambiguous leaves the transaction open: one line, `writes.unresumed`, its key's outcome unknown, resumed at the next start that finds the participant. A participant with one endpoint that has moved is asked at the new address, unless that was another participant's. Records without names are continued only where the settings have the same endpoints in the same places. An older program refuses the new records.

The participant of writing_test moved to transaction_participant.hpp.

--- a/src/transaction/coordinator.cpp
+++ b/src/transaction/coordinator.cpp
@@ -70,13 +70,18 @@
     outcomes_.on_begin(hash_of(restored->key), restored->number);
     open_transactions_[restored->id] = restored;
   }
+  for (const unresumed_transaction& unresumed : recovered.unresumed) {
+    last_number_ = std::max(last_number_, unresumed.number);
+    outcomes_.on_begin(hash_of(unresumed.key), unresumed.number);
+  }
+  unresumed_ = recovered.unresumed.size();
   const auto aging_time = [clock = clock_] {
     return clock.at(std::chrono::steady_clock::now().time_since_epoch());
   };
   log_.open(std::make_shared<store::table_service>(file_system_, folder, std::move(recovered.tables),
                                                    store::table_service_options{}, aging_time, notify_));
-  log("writes", "%s: log opened with %zu open transactions and %zu outcomes", folder.c_str(),
-      open_transactions_.size(), outcomes_.size());
+  log("writes", "%s: log opened with %zu open transactions, %zu that are not resumed, and %zu outcomes",
+      folder.c_str(), open_transactions_.size(), unresumed_, outcomes_.size());
   for (const auto& [id, restored] : open_transactions_) queue_recovered(*restored);
 }
 
@@ -201,7 +206,7 @@
       participants_.on_request_ended(*transaction, i, upstream::call_outcome::cancelled);
   }
   participants_.unbind(*transaction);
-  in_flight_.release(transaction->plan->participants);
+  in_flight_.release(transaction->dependencies());
   update_fan_out_share(*transaction);
   reserved_bytes_ -= transaction->reserved_bytes;
   timers_.erase({transaction->due_at, transaction->id});
@@ -235,7 +240,7 @@
 
 // Resumes a recovered transaction if one call in flight can be acquired at each participant.
 void coordinator::try_resume(open_transaction& transaction) {
-  if (!in_flight_.try_acquire_recovered(transaction.plan->participants)) return;
+  if (!in_flight_.try_acquire_recovered(transaction.dependencies())) return;
   transaction.needs_calls = false;
   --waiting_recovered_;
   update_fan_out_share(transaction);
@@ -254,7 +259,7 @@
 // again on a new connection. Prepare requests have no such timeout: they end at the deadline of the decision.
 void coordinator::time_out_request(open_transaction& transaction, std::size_t participant, time_point now) {
   const participant_call& call = transaction.calls[participant];
-  const duration budget = config_.dependencies->rules[transaction.plan->participants[participant]].budget;
+  const duration budget = config_.dependencies->rules[call.dependency].budget;
   const state_machine::state state = transaction.machine.current_state();
   if (state == state_machine::state::preparing || call.exchange == nullptr || now - call.sent_at < budget)
     return;
@@ -316,7 +321,7 @@
 // Called after the transaction's calls were acquired or released: fan-out receives the remaining quota share
 // of the same dependencies.
 void coordinator::update_fan_out_share(const open_transaction& transaction) {
-  for (const std::size_t dependency : transaction.plan->participants)
+  for (const std::size_t dependency : transaction.dependencies())
     fan_out_.set_share(dependency, in_flight_.remaining_share(dependency));
 }
 
@@ -326,6 +331,7 @@
     lines += "writes." + std::string(name) + "=" + std::to_string(value) + "\n";
   };
   add("open", open_transactions_.size());
+  add("unresumed", unresumed_);
   add("outcomes", outcomes_.size());
   add("turned_away", rejected_);
   add("holds_folder", log_.is_open() ? 1 : 0);
--- a/src/transaction/coordinator.hpp
+++ b/src/transaction/coordinator.hpp
@@ -135,7 +135,8 @@
   std::unordered_map<transaction_id, std::shared_ptr<open_transaction>> open_transactions_;
   // Requests whose clients wait for the outcome.
   std::unordered_map<request_id, transaction_id> waiting_clients_;
-  std::set<timer> timers_;  // one for each open transaction
+  std::set<timer> timers_;     // one for each open transaction
+  std::size_t unresumed_ = 0;  // open transactions whose participants are not in the settings
   outcome_cache outcomes_;
   std::uint64_t reserved_bytes_ = 0;   // disk space reserved by open transactions
   std::size_t waiting_recovered_ = 0;  // recovered transactions that wait for calls in flight
--- a/src/transaction/coordinator_intake.cpp
+++ b/src/transaction/coordinator_intake.cpp
@@ -75,14 +75,15 @@
 }
 
 std::shared_ptr<open_transaction> coordinator::begin(request_id id, const request& client_request) {
-  auto transaction = make_transaction(config_, next_id(), client_request.request_class,
-                                      client_request.payload, scoped_key(client_request));
+  const transaction_plan& plan = *plan_of(client_request);
+  auto transaction = make_transaction(
+      config_, next_id(), {client_request.request_class, client_request.payload, scoped_key(client_request)},
+      participants_.choose_places(plan.participants, net::steady_now()));
   last_number_ = std::max(last_number_, transaction->number);
   transaction->client = id;
-  participants_.choose_endpoints(*transaction);
+  participants_.bind(*transaction);
   transaction->decision_deadline = upstream::response_deadline(
-      client_request, config_.policy_settings.classes[client_request.request_class],
-      transaction->plan->reserve);
+      client_request, config_.policy_settings.classes[client_request.request_class], plan.reserve);
   transaction->reserved_bytes =
       disk_space_of_transaction(client_request.payload.size(), config_.bounds.max_write_buffer_bytes);
   reserved_bytes_ += transaction->reserved_bytes;
--- a/src/transaction/log_records.cpp
+++ b/src/transaction/log_records.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t number_size = sizeof(std::uint64_t);
+// In place of the endpoints of earlier versions: the participants follow. No endpoint is called so.
+constexpr std::string_view participants_marker = "participants";
 constexpr std::size_t outcome_id_size = 3 * number_size;
 
 void append_big_endian(std::string& out, std::uint64_t number) {
@@ -28,6 +30,36 @@
                                   value_bytes);
 }
 
+std::string encode_participants(const std::vector<recorded_participant>& participants) {
+  std::string encoded;
+  for (const recorded_participant& participant : participants) {
+    append_text(encoded, participant.name);
+    append_text(encoded, participant.address);
+    store::put(encoded, std::uint32_t{participant.one_phase});
+    store::put(encoded, participant.endpoints);
+  }
+  return encoded;
+}
+
+bool consume_number(std::string_view& in, std::uint32_t& out) {
+  if (in.size() < sizeof out) return false;
+  out = store::get<std::uint32_t>(in, 0);
+  in.remove_prefix(sizeof out);
+  return true;
+}
+
+bool parse_participants(std::string_view in, std::vector<recorded_participant>& participants) {
+  while (!in.empty()) {
+    recorded_participant& participant = participants.emplace_back();
+    std::uint32_t one_phase = 0;
+    const bool complete = consume_text(in, participant.name) && consume_text(in, participant.address) &&
+                          consume_number(in, one_phase) && consume_number(in, participant.endpoints);
+    if (!complete || one_phase > 1) return false;
+    participant.one_phase = one_phase != 0;
+  }
+  return !participants.empty();
+}
+
 }  // namespace
 
 std::uint64_t number_of(std::string_view id) {
@@ -41,8 +73,14 @@
 
 store::batch begin_batch(const begin_record& begin) {
   std::string value;
-  for (const std::string* text : {&begin.request_class, &begin.key, &begin.payload, &begin.endpoints})
+  for (const std::string* text : {&begin.request_class, &begin.key, &begin.payload})
     append_text(value, *text);
+  if (begin.participants.empty()) {
+    append_text(value, begin.endpoints);
+  } else {
+    append_text(value, participants_marker);
+    append_text(value, encode_participants(begin.participants));
+  }
   store::batch batch;
   batch.put(open_table, begin.id, std::move(value));
   return batch;
@@ -71,7 +109,12 @@
   begin.id = id;
   for (std::string* text : {&begin.request_class, &begin.key, &begin.payload, &begin.endpoints})
     if (!consume_text(value, *text)) return std::nullopt;
-  if (id.size() != transaction_id_size || !value.empty()) return std::nullopt;
+  if (id.size() != transaction_id_size) return std::nullopt;
+  if (begin.endpoints != participants_marker) return value.empty() ? std::optional(begin) : std::nullopt;
+  begin.endpoints.clear();
+  std::string participants;
+  const bool complete = consume_text(value, participants) && value.empty();
+  if (!complete || !parse_participants(participants, begin.participants)) return std::nullopt;
   return begin;
 }
 
@@ -106,7 +149,7 @@
 }
 
 std::uint64_t disk_space_of_transaction(std::size_t payload_bytes, std::size_t longest_result_bytes) {
-  constexpr std::size_t names_bytes = 1024;  // reserved for class, key and endpoints
+  constexpr std::size_t names_bytes = 2048;  // reserved for class, key and participants
   constexpr std::uint64_t records = 3;       // last_agent, commit, abort
   constexpr std::uint64_t erased_rows = 2;
   return disk_space_of_row(transaction_id_size, payload_bytes + names_bytes) +
--- a/src/transaction/log_records.hpp
+++ b/src/transaction/log_records.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "store/tables.hpp"
 #include "transaction/outcome_cache.hpp"
@@ -32,15 +33,24 @@
 // Returns the transaction's number; 0 if `id` is not a transaction id.
 std::uint64_t number_of(std::string_view id);
 
+// A participant of a transaction as the settings had it when the transaction began.
+struct recorded_participant {
+  std::string name;     // of its dependency
+  std::string address;  // host:port of the endpoint that gets all requests of the transaction
+  bool one_phase = false;
+  std::uint32_t endpoints = 1;  // the number of endpoints that the participant had
+  bool operator==(const recorded_participant&) const = default;
+};
 // The data that recovery needs to continue a transaction.
 struct begin_record {
   transaction_id id;
   std::string request_class;
   std::string key;      // the request's key, including its tenant and class
   std::string payload;  // the request's payload
-  // The endpoints of the participants (host:port, separated by spaces) in the order of the plan. Empty: the
-  // first endpoint of each participant.
-  std::string endpoints;
+  // Of earlier versions, which did not record names: the endpoints of the participants (host:port, separated
+  // by spaces) in the order of the plan. Empty: the first endpoint of each participant.
+  std::string endpoints{};
+  std::vector<recorded_participant> participants{};  // in the order of the plan
 };
 // The result of a committed transaction.
 struct result_record {
--- a/src/transaction/open_transaction.hpp
+++ b/src/transaction/open_transaction.hpp
@@ -16,25 +16,34 @@
 
 namespace marblewharf::transaction {
 
+// The participant of a transaction in the settings.
+struct participant_place {
+  std::size_t dependency = 0;      // index of its dependency
+  std::size_t endpoint_index = 0;  // index of the endpoint that gets all requests of the transaction
+};
+
 // A participant of one transaction and the request to it that is in flight.
 struct participant_call {
-  endpoint address;                // all requests of the transaction go to this endpoint
-  std::size_t endpoint_index = 0;  // index of `address`; past the end if it is no longer in the settings
+  std::size_t dependency = 0;                 // index of the participant's dependency
+  endpoint address;                           // all requests of the transaction go to this endpoint
+  std::size_t endpoint_index = 0;             // index of `address`
   std::shared_ptr<uwsgi::exchange> exchange;  // null: no request is in flight
   time_point sent_at{};                       // when the last request was sent
   fan_out::sub_response result;               // the participant's response to the commit
 };
 
 struct open_transaction {
-  open_transaction(std::vector<participant_kind> kinds, const transaction_plan& transaction_plan)
-      : plan(&transaction_plan), machine(std::move(kinds)), calls(transaction_plan.participants.size()) {}
+  explicit open_transaction(std::vector<participant_kind> kinds)
+      : machine(std::move(kinds)), calls(machine.participants()) {}
+
+  // The indices of the participants' dependencies, in the order of `calls`.
+  std::vector<std::size_t> dependencies() const;
 
   transaction_id id;
   std::uint64_t number = 0;  // the second half of the id; increases also across restarts
   std::size_t request_class = 0;
   std::string key;      // the request's key, including its tenant and class
   std::string payload;  // the request's payload
-  const transaction_plan* plan;
   state_machine machine;
   request_id client = 0;  // the request to answer; 0: none
   time_point begun_at{};
@@ -46,17 +55,23 @@
   bool committed = false;
   log_record last_logged{};             // last durable record; 0: none
   std::uint64_t reserved_bytes = 0;     // disk space for all of its records
-  std::vector<participant_call> calls;  // in the order of the plan
+  std::vector<participant_call> calls;  // by participant
 };
 
 // Null: requests of this class are not transactions.
 const transaction_plan* find_plan(const transactions_config& writes, std::size_t request_class);
 
-// Creates a transaction that has not started, with the first endpoint of each participant. Null: the class
-// has no plan.
+// What a client asks for.
+struct transaction_request {
+  std::size_t request_class = 0;
+  std::string payload;
+  std::string key;  // includes the tenant and the class
+};
+
+// Creates a transaction that has not started.
 std::shared_ptr<open_transaction> make_transaction(const config& settings, const transaction_id& id,
-                                                   std::size_t request_class, std::string payload,
-                                                   std::string key);
+                                                   transaction_request asked,
+                                                   const std::vector<participant_place>& places);
 
 // The response to the client, composed of the participants' responses to their commits.
 std::string compose_result(const open_transaction& transaction, const config& settings);
--- a/src/transaction/participant_calls.cpp
+++ b/src/transaction/participant_calls.cpp
@@ -41,36 +41,23 @@
     endpoint_sets_.emplace_back(rules.endpoints, rules.health, rules.near);
 }
 
-// Null: the endpoint is no longer in the settings.
-upstream::endpoint_set* participant_calls::endpoints_of(const open_transaction& transaction,
-                                                        std::size_t participant) {
-  upstream::endpoint_set& endpoints = endpoint_sets_[transaction.plan->participants[participant]];
-  return transaction.calls[participant].endpoint_index < endpoints.count() ? &endpoints : nullptr;
-}
-
-void participant_calls::choose_endpoints(open_transaction& transaction) {
-  for (std::size_t i = 0; i < transaction.calls.size(); ++i) {
-    participant_call& call = transaction.calls[i];
-    const std::size_t dependency = transaction.plan->participants[i];
-    call.endpoint_index =
-        endpoint_sets_[dependency].choose(transaction.begun_at, random_(), true).value_or(0);
-    call.address = config_.dependencies->upstreams[dependency].endpoints[call.endpoint_index];
-  }
-  bind(transaction);
+std::vector<participant_place> participant_calls::choose_places(const std::vector<std::size_t>& dependencies,
+                                                                time_point now) {
+  std::vector<participant_place> places;
+  places.reserve(dependencies.size());
+  for (const std::size_t dependency : dependencies)
+    places.push_back({dependency, endpoint_sets_[dependency].choose(now, random_(), true).value_or(0)});
+  return places;
 }
 
 void participant_calls::bind(const open_transaction& transaction) {
-  for (std::size_t i = 0; i < transaction.calls.size(); ++i) {
-    if (upstream::endpoint_set* endpoints = endpoints_of(transaction, i))
-      endpoints->on_bound(transaction.calls[i].endpoint_index);
-  }
+  for (const participant_call& call : transaction.calls)
+    endpoint_sets_[call.dependency].on_bound(call.endpoint_index);
 }
 
 void participant_calls::unbind(const open_transaction& transaction) {
-  for (std::size_t i = 0; i < transaction.calls.size(); ++i) {
-    if (upstream::endpoint_set* endpoints = endpoints_of(transaction, i))
-      endpoints->on_unbound(transaction.calls[i].endpoint_index);
-  }
+  for (const participant_call& call : transaction.calls)
+    endpoint_sets_[call.dependency].on_unbound(call.endpoint_index);
 }
 
 // Returns the client's request with the variables for the step and the transaction id.
@@ -79,7 +66,7 @@
   const auto packet = uwsgi::next_packet(transaction.payload, config_.bounds);
   if (!packet) return {};
   const transactions_config& writes = *config_.transactions;
-  const std::size_t dependency = transaction.plan->participants[request.participant];
+  const std::size_t dependency = transaction.calls[request.participant].dependency;
   const std::string& path = config_.dependencies->upstreams[dependency].path;
   std::vector<std::pair<std::string, std::string>> vars = packet->vars;
   std::erase_if(vars, [&](const auto& var) {
@@ -98,8 +85,7 @@
   // An earlier request may still be in flight. Its response is no longer needed, so it counts as cancelled.
   if (call.exchange != nullptr)
     on_request_ended(transaction, request.participant, upstream::call_outcome::cancelled);
-  if (upstream::endpoint_set* endpoints = endpoints_of(transaction, request.participant))
-    endpoints->on_start(call.endpoint_index);
+  endpoint_sets_[call.dependency].on_start(call.endpoint_index);
   call.sent_at = net::steady_now();
   const auto on_end = [this, id = transaction.id, request](uwsgi::exchange_end end,
                                                            const uwsgi::response_head* head,
@@ -125,11 +111,9 @@
 
 void participant_calls::on_request_ended(const open_transaction& transaction, std::size_t participant,
                                          upstream::call_outcome outcome) {
-  upstream::endpoint_set* endpoints = endpoints_of(transaction, participant);
-  if (endpoints == nullptr) return;
   const participant_call& call = transaction.calls[participant];
   const time_point now = net::steady_now();
-  endpoints->on_end(call.endpoint_index, now, now - call.sent_at, outcome);
+  endpoint_sets_[call.dependency].on_end(call.endpoint_index, now, now - call.sent_at, outcome);
 }
 
 void participant_calls::set_reachable(const std::function<bool(const std::string&)>& routable) {
--- a/src/transaction/participant_calls.hpp
+++ b/src/transaction/participant_calls.hpp
@@ -36,9 +36,9 @@
   participant_calls(net::reactor& reactor, const config& settings, std::uint64_t seed,
                     response_handler on_response);
 
-  // Selects an endpoint for each participant and binds the transaction to it, before the transaction starts.
-  // The endpoint is never changed, because only the endpoint that prepared the transaction knows its state.
-  void choose_endpoints(open_transaction& transaction);
+  // Selects an endpoint for each participant of a new transaction. The endpoint is never changed, because
+  // only the endpoint that prepared the transaction knows its state.
+  std::vector<participant_place> choose_places(const std::vector<std::size_t>& dependencies, time_point now);
   // From bind() to unbind() the transaction counts as load of its endpoints, with or without a request in
   // flight. Its requests start only after its begin record is durable; without this, all transactions that
   // arrive in the meantime would select the same endpoint.
@@ -59,7 +59,6 @@
   void set_reachable(const std::function<bool(const std::string&)>& routable);
 
  private:
-  upstream::endpoint_set* endpoints_of(const open_transaction& transaction, std::size_t participant);
   std::string encode_request(const open_transaction& transaction, const send_request& request) const;
 
   net::reactor& reactor_;
--- a/src/transaction/recovery.cpp
+++ b/src/transaction/recovery.cpp
@@ -1,60 +1,54 @@
 #include "transaction/recovery.hpp"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
+#include <variant>
 
 #include "net/reactor.hpp"
 #include "telemetry/telemetry.hpp"
+#include "transaction/participant_placement.hpp"
 
 namespace marblewharf::transaction {
 namespace {
 
 using telemetry::log;
 
-endpoint parse_endpoint(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  return {address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
-}
+// An open transaction that cannot be resumed with these settings, and why.
+struct unresumable {
+  std::string participant;  // empty: the class has no plan
+  const char* reason = "";
+};
 
-// Restores the endpoints at which the transaction started; its remaining requests must go to the same
-// endpoints.
-void restore_endpoints(open_transaction& transaction, const std::string& endpoints, const config& settings) {
-  std::istringstream addresses(endpoints);
-  std::string address;
-  for (std::size_t i = 0; i < transaction.calls.size() && addresses >> address; ++i) {
-    participant_call& call = transaction.calls[i];
-    call.address = parse_endpoint(address);
-    const auto& configured = settings.dependencies->upstreams[transaction.plan->participants[i]].endpoints;
-    const auto found = std::find(configured.begin(), configured.end(), call.address);
-    call.endpoint_index = static_cast<std::size_t>(found - configured.begin());
-  }
-}
+using restored_transaction = std::variant<std::shared_ptr<open_transaction>, unresumable>;
 
-std::shared_ptr<open_transaction> restore(const open_transaction_found& found, const config& settings) {
+restored_transaction restore(const open_transaction_found& found, const config& settings) {
   const begin_record& begin = found.begin;
   const auto& classes = settings.policy_settings.classes;
   const auto named_class = std::find_if(classes.begin(), classes.end(), [&](const auto& candidate) {
     return candidate.name == begin.request_class;
   });
-  std::shared_ptr<open_transaction> restored;
-  if (named_class != classes.end()) {
-    const auto request_class = static_cast<std::size_t>(named_class - classes.begin());
-    restored = make_transaction(settings, begin.id, request_class, begin.payload, begin.key);
-  }
-  if (restored == nullptr) {
-    log("writes",
-        "an open transaction of class %s has no plan in the settings: it is not resumed, and its records "
-        "remain unchanged",
-        begin.request_class.c_str());
-    return nullptr;
-  }
+  const auto request_class = static_cast<std::size_t>(named_class - classes.begin());
+  const transaction_plan* plan = find_plan(*settings.transactions, request_class);
+  if (plan == nullptr) return unresumable{"", "its class has no plan in the settings"};
+  const participant_placement placement = place_participants(begin, *plan, *settings.dependencies);
+  if (const auto* unplaced = std::get_if<unplaced_participant>(&placement))
+    return unresumable{unplaced->name, text_of(unplaced->fault)};
+  auto restored = make_transaction(settings, begin.id, {request_class, begin.payload, begin.key},
+                                   std::get<std::vector<participant_place>>(placement));
   restored->last_logged = found.last;
   restored->committed = found.last == log_record::commit;
-  restore_endpoints(*restored, begin.endpoints, settings);
   return restored;
 }
 
+void log_unresumed(const begin_record& begin, const unresumable& obstacle) {
+  log("writes",
+      "open transaction %s of class %s is not resumed: %s%s%s; its records remain, and it is resumed at the "
+      "next "
+      "start that finds its participants",
+      begin.id.c_str(), begin.request_class.c_str(), obstacle.participant.c_str(),
+      obstacle.participant.empty() ? "" : " ", obstacle.reason);
+}
+
 }  // namespace
 
 recovered_log recover_log(store::file_system& fs, const config& settings,
@@ -71,7 +65,13 @@
     log("writes", "%s: migrated the legacy log to %zu table rows", writes.folder.c_str(),
         found.migrated_rows);
   for (const open_transaction_found& open : found.open) {
-    if (auto restored = restore(open, settings)) recovered.open.push_back(std::move(restored));
+    const restored_transaction restored = restore(open, settings);
+    if (const auto* obstacle = std::get_if<unresumable>(&restored)) {
+      log_unresumed(open.begin, *obstacle);
+      recovered.unresumed.push_back({number_of(open.begin.id), open.begin.key});
+    } else {
+      recovered.open.push_back(std::get<std::shared_ptr<open_transaction>>(restored));
+    }
   }
   recovered.outcomes = std::move(found.outcomes);
   recovered.tables = std::move(found.tables);
--- a/src/transaction/recovery.hpp
+++ b/src/transaction/recovery.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "config/config.hpp"
@@ -14,6 +15,12 @@
 
 namespace marblewharf::transaction {
 
+// An open transaction whose participants are not in the settings. Its outcome is unknown.
+struct unresumed_transaction {
+  std::uint64_t number = 0;
+  std::string key;  // the request's key
+};
+
 struct recovered_log {
   std::unique_ptr<store::tables> tables;
   idempotency::aging_clock clock;
@@ -21,11 +28,12 @@
   // Open transactions, with the endpoints at which they started. Their state machines have not been resumed
   // yet.
   std::vector<std::shared_ptr<open_transaction>> open;
+  std::vector<unresumed_transaction> unresumed;
 };
 
-// Blocks on disk I/O. If the class of an open transaction no longer has a plan, a message is logged and the
-// records of the transaction remain on disk unchanged. `salt`: used for a new folder. Throws
-// store::folder_locked if another process holds the folder, store::io_error or store::damaged.
+// Blocks on disk I/O. If the settings no longer have the plan or a participant of an open transaction, a
+// message is logged and the records of the transaction remain on disk unchanged. `salt`: used for a new
+// folder. Throws store::folder_locked if another process holds the folder, store::io_error or store::damaged.
 recovered_log recover_log(store::file_system& fs, const config& settings,
                           std::chrono::nanoseconds outcome_retention, std::uint64_t salt);
 
--- a/src/transaction/state_machine.hpp
+++ b/src/transaction/state_machine.hpp
@@ -112,6 +112,7 @@
   std::optional<action> next_action();
 
   state current_state() const { return state_; }
+  std::size_t participants() const { return participants_.size(); }
 
  private:
   struct participant {
--- a/tests/net/writing_test.cpp
+++ b/tests/net/writing_test.cpp
@@ -7,57 +7,16 @@
 #include <thread>
 
 #include "../peers/idle_runtime.hpp"
-#include "../peers/uwsgi_server.hpp"
+#include "transaction_participant.hpp"
 #include "uwsgi_peer.hpp"
 
 using namespace harness;
 using peers::manner;
 using peers::reaction;
 using peers::uwsgi_request;
-using peers::uwsgi_server;
 
 namespace {
 
-// A participant on a fake uwsgi server. Records for each key the steps that it confirmed, in their order.
-class participant {
- public:
-  // `script` answers each step; it is called on the server's thread.
-  explicit participant(std::function<reaction(const uwsgi_request&)> script =
-                           [](const uwsgi_request&) { return reaction{}; })
-      : script_(std::move(script)), server([this](const uwsgi_request& q) { return step(q); }) {}
-  // Replaces the script; may be called from any thread.
-  void change(std::function<reaction(const uwsgi_request&)> script) {
-    const std::lock_guard lock(guard_);
-    script_ = std::move(script);
-  }
-  // The first letters of the confirmed steps of a key: `p` prepare, `c` commit, `a` abort.
-  std::string steps(const std::string& key) {
-    const std::lock_guard lock(guard_);
-    return steps_[key];
-  }
-  // The number of transactions that sent at least one step to this participant.
-  std::size_t transactions() {
-    const std::lock_guard lock(guard_);
-    return transactions_.size();
-  }
-
- private:
-  reaction step(const uwsgi_request& q) {
-    const std::lock_guard lock(guard_);
-    transactions_.insert(q.vars.at("WRITE_ID"));
-    const reaction r = script_(q);
-    if (r.how == manner::whole) steps_[q.vars.at("KEY")] += q.vars.at("STEP")[0];
-    return r;
-  }
-  std::mutex guard_;
-  std::function<reaction(const uwsgi_request&)> script_;
-  std::map<std::string, std::string> steps_;
-  std::set<std::string> transactions_;
-
- public:
-  uwsgi_server server;  // the last member: its thread uses the others and ends first
-};
-
 struct site_options {
   int write_aim_ms = 20000;
   std::string window = "10m", writes_settings = {}, buch_settings = {};
@@ -121,14 +80,6 @@
   node_options node_options_;
 };
 
-void wait_until(const std::function<bool()>& done) {
-  const auto until = clock::now() + std::chrono::milliseconds(patience_ms);
-  while (!done()) {
-    CHECK(clock::now() < until);
-    std::this_thread::sleep_for(20ms);
-  }
-}
-
 bool rejected_with_retry_after(const std::string& response) {
   return site::status(response) == "503" && response.find("Retry-After: ") != std::string::npos;
 }
--- a/tests/transaction/log_folder_test.cpp
+++ b/tests/transaction/log_folder_test.cpp
@@ -35,11 +35,17 @@
 void rows_are_decoded_as_encoded() {
   CHECK(rc::check("rows decode to the encoded values, and truncated or longer rows are invalid", [] {
     const auto text = [] { return *rc::gen::arbitrary<std::string>(); };
-    const begin_record begin{id_of(*rc::gen::inRange(1, 1'000'000)), text(), text(), text(), text()};
+    begin_record begin{id_of(*rc::gen::inRange(1, 1'000'000)), text(), text(), text()};
+    const int participants = *rc::gen::inRange(0, 4);  // 0: the record of an earlier version
+    if (participants == 0) begin.endpoints = text();
+    for (int i = 0; i < participants; ++i)
+      begin.participants.push_back(
+          {text(), text(), *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<std::uint32_t>()});
     const std::string begin_row = *begin_batch(begin).changes().at({open_table, begin.id});
     const auto parsed = parse_begin_record(begin.id, begin_row);
     RC_ASSERT(parsed && parsed->request_class == begin.request_class && parsed->key == begin.key &&
-              parsed->payload == begin.payload && parsed->endpoints == begin.endpoints);
+              parsed->payload == begin.payload && parsed->endpoints == begin.endpoints &&
+              parsed->participants == begin.participants);
     const std::size_t cut =
         static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(begin_row.size())));
     RC_ASSERT(!parse_begin_record(begin.id, begin_row.substr(0, cut)) &&
