Count a key's window between arrivals in one function, for results on disk, too

Cause: the disk service counted the window from the time of reading to the time of reading, the memory service from arrival to arrival. With results on disk a repeat that reached the host in the window and was read after it ran again, and one after the window could get the stored result.

Change: key_table_service::claim_key has the definition (from `door` of the try that ran) and both services call it with the request. Keys and their records on disk are kept for the longest deadline beyond their expiry, because a request may be read that late.

Test: keyed.window, with the disk, in both directions and across a restart: with the program of it ended at its time limit, because the second try was answered with the old result; it passes now. recorded_folder_test gives its claims an arrival, as the dispatcher does.

--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -43,7 +43,7 @@
 
 durable_service::durable_service(store::file_system& files, durable_service_options options,
                                  telemetry::counters& counters, std::function<void()> notify)
-    : key_table_service(table_options_of(options), counters),
+    : key_table_service(table_options_of(options), counters, options.longest_wait),
       options_(std::move(options)),
       now_(options_.steady_now) {
   std::unique_ptr<store::log> opened = open_log(files);
@@ -67,11 +67,11 @@
   log_options.space_bytes = options_.space;
   log_options.salt = options_.salt;
   aging_time latest = 0;
-  const auto expiry_of = [&latest](std::uint32_t type, std::string_view body) {
+  const auto expiry_of = [this, &latest](std::uint32_t type, std::string_view body) {
     const std::optional<key_record> record = decode(type, body);
     if (!record) return aging_time{0};
     latest = std::max(latest, record->written_at);
-    return record->expiry;
+    return kept_until(record->expiry);
   };
   const auto recover_each = [this](std::uint32_t type, std::string_view body,
                                    const store::position& position) {
@@ -85,7 +85,7 @@
   clock_ = aging_clock(options_.unix_now, std::chrono::nanoseconds(std::max(latest, recovered_.latest_time)),
                        options_.steady_now);
   table_.finish_recovery();
-  table_.expire(now());
+  table_.expire(expiry_horizon(now_));
   opened->open(now());
   return opened;
 }
@@ -134,7 +134,7 @@
     }
   }
   update_disk_state(status);
-  if (expiry_is_due(now_)) table_.expire(now());
+  if (expiry_is_due(now_)) table_.expire(expiry_horizon(now_));
   publish_key_counts();
 }
 
@@ -157,7 +157,7 @@
   const std::chrono::nanoseconds window = options_.windows.at(claimant.request_class);
   const key_id key = key_id_of(tenant_name(claimant.tenant), options_.classes.at(claimant.request_class),
                                claimant.key, salt_);
-  const key_claim claim = claim_key(id, key, claimant.fingerprint, window, now());
+  const key_claim claim = claim_key(id, key, claimant.fingerprint, window, claimant);
   if (claim.status == claim_status::completed) readers_[id] = {key, claim.result_at};
   claim_result result = to_result(claim);
   result.server = servers_.name_of(claim.server);
@@ -175,7 +175,7 @@
 }
 
 void durable_service::write(request_id primary, const claimed_key& claimed, const key_record& record) {
-  submit({record.type, primary, claimed.key, {encode(record), claimed.expiry}});
+  submit({record.type, primary, claimed.key, {encode(record), kept_until(claimed.expiry)}});
 }
 
 // The committer's queue is large enough for all keys that the table admits. If it is full nevertheless, the
@@ -255,7 +255,7 @@
         failed_results_.push_back(std::move(write));
         break;
       }
-      table_.result_recorded(write.key, done.location, now());
+      table_.result_recorded(write.key, done.location, expiry_horizon(now_));
       observer().on_result_recorded(write.primary);
       break;
     case record_type::release: break;
--- a/src/idempotency/durable_service.hpp
+++ b/src/idempotency/durable_service.hpp
@@ -10,7 +10,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "idempotency/aging_clock.hpp"
 #include "idempotency/key_table_service.hpp"
 #include "idempotency/records.hpp"
 #include "idempotency/server_names.hpp"
@@ -22,6 +21,7 @@
   std::string folder;
   // By request class: how long after the first arrival duplicates are recognized; 0 = not keyed.
   std::vector<std::chrono::nanoseconds> windows;
+  duration longest_wait{};  // maximum time from the arrival of a request at the host until it is read
   // Names by number. Keys are scoped by names, so that numbers may change between restarts.
   std::vector<std::string> classes;
   std::vector<std::string> tenants;
@@ -83,6 +83,8 @@
   void recover(const key_record& record, const store::position& position);
   void start_committer(std::unique_ptr<store::log> log, std::function<void()> notify);
   aging_time now() const { return clock_.at(now_); }
+  // Until when a record of a key with this expiry is kept on disk.
+  aging_time kept_until(aging_time expiry) const { return expiry + longest_wait().count(); }
   std::string_view tenant_name(unsigned tenant) const;
   key_record record_of(record_type type, const claimed_key& claimed) const;
   void write(request_id primary, const claimed_key& claimed, const key_record& record);
@@ -94,7 +96,6 @@
   void reply_unreadable(request_id id);
 
   const durable_service_options options_;
-  aging_clock clock_;
   time_point now_;  // on the steady clock
   store::recovered_counts recovered_;
   std::uint64_t salt_ = 0;
--- a/src/idempotency/key_table_service.cpp
+++ b/src/idempotency/key_table_service.cpp
@@ -12,8 +12,8 @@
 }
 
 key_claim key_table_service::claim_key(request_id id, const key_id& key, std::uint64_t fingerprint,
-                                       std::chrono::nanoseconds window, aging_time now) {
-  const key_claim claim = table_.claim(key, fingerprint, id, window, now);
+                                       std::chrono::nanoseconds window, const request& claimant) {
+  const key_claim claim = table_.claim(key, fingerprint, id, window, clock_.at(claimant.arrival_time));
   count(claim.status);
   if (claim.status == claim_status::primary || claim.status == claim_status::inquiry_primary)
     primaries_[id] = {key, fingerprint, table_.expiry_of(key)};
--- a/src/idempotency/key_table_service.hpp
+++ b/src/idempotency/key_table_service.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "core/idempotency_store.hpp"
+#include "idempotency/aging_clock.hpp"
 #include "idempotency/key_table.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -31,12 +32,20 @@
     aging_time expiry = 0;
   };
 
-  key_table_service(const key_table_options& options, telemetry::counters& counters)
-      : counters_(counters), table_(options) {}
+  // `longest_wait`: maximum time from the arrival of a request at the host until it is read.
+  key_table_service(const key_table_options& options, telemetry::counters& counters, duration longest_wait)
+      : counters_(counters), table_(options), longest_wait_(longest_wait) {}
 
   // Claims the key in the table, counts the outcome, and remembers the key of a primary until it is closed.
+  // The window of a key opens when the attempt that runs arrives at the host. A repeat that arrives there
+  // before the window ends is a duplicate, no matter when either of them is read.
   key_claim claim_key(request_id id, const key_id& key, std::uint64_t fingerprint,
-                      std::chrono::nanoseconds window, aging_time now);
+                      std::chrono::nanoseconds window, const request& claimant);
+  // Keys that expired before this time can be removed: every request that arrived before their expiry has
+  // been read by `now`.
+  aging_time expiry_horizon(time_point now) const { return clock_.at(now - longest_wait_); }
+  // How long the records of a key are needed beyond its expiry.
+  duration longest_wait() const { return longest_wait_; }
   static claim_result to_result(const key_claim& claim);
 
   // Counts what became of a request with a key.
@@ -53,8 +62,10 @@
 
   telemetry::counters& counters_;
   key_table table_;
+  aging_clock clock_;  // the steady clock, unless the derived class sets another
 
  private:
+  const duration longest_wait_;
   idempotency_observer* observer_ = nullptr;
   std::unordered_map<request_id, claimed_key> primaries_;
   time_point next_expiry_{};
--- a/src/idempotency/memory_service.cpp
+++ b/src/idempotency/memory_service.cpp
@@ -24,7 +24,7 @@
 
 memory_service::memory_service(memory_service_options options, telemetry::counters& counters,
                                std::unique_ptr<shared_keys> shared, time_point now)
-    : key_table_service(table_options_of(options), counters),
+    : key_table_service(table_options_of(options), counters, options.longest_wait),
       options_(std::move(options)),
       shared_(std::move(shared)),
       now_(now) {
@@ -41,7 +41,7 @@
   std::uint64_t free_bytes = options_.memory - std::min(options_.memory, bytes_);
   if (shared_) free_bytes = std::min(free_bytes, shared_->free_bytes());
   aging_time next_expiry = 0;
-  if (!expiry_queue_.empty()) next_expiry = expiry_queue_.front().expiry + options_.longest_wait.count();
+  if (!expiry_queue_.empty()) next_expiry = expiry_queue_.front().expiry + longest_wait().count();
   table_.set_disk({.writable = true, .free_bytes = free_bytes, .next_segment_expiry = next_expiry});
 }
 
@@ -51,7 +51,6 @@
                    client_key, options_.salt);
 }
 
-// The window is measured between arrivals, no matter when the requests are read.
 claim_result memory_service::claim(request_id id, const request& claimant) {
   const key_id key = key_of(claimant);
   if (shared_) {
@@ -61,7 +60,7 @@
       return claim_peer_run(id, key, claimant, run->state);
   }
   const duration window = options_.windows.at(claimant.request_class);
-  const key_claim claim = claim_key(id, key, no_fingerprint, window, claimant.arrival_time.count());
+  const key_claim claim = claim_key(id, key, no_fingerprint, window, claimant);
   if (claim.status == claim_status::completed) readers_[id] = {key, claimant.arrival_time, false};
   return to_result(claim);
 }
@@ -128,7 +127,7 @@
   reply_to_intents();
   for (const request_id primary : std::exchange(recorded_results_, {})) {
     if (!is_primary(primary)) continue;
-    table_.result_recorded(primary_key(primary).key, {}, expiry_horizon());
+    table_.result_recorded(primary_key(primary).key, {}, expiry_horizon(now_));
     observer().on_result_recorded(primary);
   }
   reply_to_readers();
@@ -150,7 +149,7 @@
 
 void memory_service::reply_to_intents() {
   std::vector<shared_keys::intent_outcome> outcomes;
-  if (shared_) outcomes = shared_->publish(now_, expiry_horizon());
+  if (shared_) outcomes = shared_->publish(now_, expiry_horizon(now_));
   for (const request_id primary : std::exchange(written_intents_, {})) outcomes.push_back({primary, true});
   for (const auto& [primary, published] : outcomes) {
     if (!is_primary(primary)) continue;
@@ -212,7 +211,7 @@
 }
 
 void memory_service::remove_expired() {
-  const aging_time horizon = expiry_horizon();
+  const aging_time horizon = expiry_horizon(now_);
   table_.expire(horizon);
   if (shared_) shared_->expire(now_, horizon);
   std::erase_if(readers_, [horizon](const auto& reader) { return reader.second.arrived.count() <= horizon; });
--- a/src/idempotency/memory_service.hpp
+++ b/src/idempotency/memory_service.hpp
@@ -77,9 +77,6 @@
   enum class reply_status { sent, awaits_peer };
 
   static std::size_t size_of(const stored_result& result);
-  // Keys that expired before this time can be removed: every request that arrived before their expiry has
-  // been read by now.
-  aging_time expiry_horizon() const { return (now_ - options_.longest_wait).count(); }
   void publish_free_memory();
   void remove_expired();
   key_id key_of(const request& claimant) const;
--- a/src/server/durable_idempotency.cpp
+++ b/src/server/durable_idempotency.cpp
@@ -18,8 +18,10 @@
   idempotency::durable_service_options options;
   options.folder = keyed.folder;
   options.windows = keyed.windows;
-  for (const auto& request_class : settings.policy_settings.classes)
+  for (const auto& request_class : settings.policy_settings.classes) {
     options.classes.push_back(request_class.name);
+    options.longest_wait = std::max(options.longest_wait, request_class.deadline);
+  }
   for (const auto& tenant : settings.policy_settings.tenants) options.tenants.push_back(tenant.name);
   if (settings.uwsgi) {
     for (const endpoint& server : settings.uwsgi->servers)
--- a/tests/idempotency/recorded_folder_test.cpp
+++ b/tests/idempotency/recorded_folder_test.cpp
@@ -132,6 +132,7 @@
     claimant.request_class = request_class == "kurs-abfrage" ? 0 : 1;
     claimant.tenant = tenant == "lech-vermoegen" ? 0 : tenant == "isar-invest" ? 1 : 9;
     claimant.fingerprint = fingerprint;
+    claimant.arrival_time = steady_;
     return service_.claim(++last_id_, claimant).status;
   }
 
--- a/tests/net/inquiry_test.cpp
+++ b/tests/net/inquiry_test.cpp
@@ -123,12 +123,6 @@
     inquiry.take(4);
     inquiry.send(response);
   }
-  // Changes the settings for the next start.
-  void replace_setting(const std::string& from, const std::string& to) {
-    const std::size_t at = options.operators.find(from);
-    CHECK(at != std::string::npos);
-    options.operators.replace(at, from.size(), to);
-  }
   static std::string name_of(const listener& server) {
     return own_host() + ":" + std::to_string(server.port);
   }
--- a/tests/net/keyed_site.hpp
+++ b/tests/net/keyed_site.hpp
@@ -50,6 +50,12 @@
     price_node.reset();
     fake_runtime->link.close();
   }
+  // Changes the settings for the next start.
+  void replace_setting(const std::string& from, const std::string& to) {
+    const std::size_t at = options.operators.find(from);
+    CHECK(at != std::string::npos);
+    options.operators.replace(at, from.size(), to);
+  }
   connection thrift() { return connection::to(price_node->port); }
   connection uwsgi(const std::string& bytes) {
     connection c = connection::to(uwsgi_port);
@@ -65,12 +71,12 @@
   std::unique_ptr<node> price_node;
 };
 
-// A keyed write over Thrift; an empty key leaves the field out.
+// A keyed write over Thrift that arrived `ms_ago` before now; an empty key leaves the field out.
 inline std::string write_of(int seqid, int label_number, const std::string& key,
                             const std::string& body = "price",
                             const std::string& request_class = "kurs-meldung",
-                            const std::string& tenant = "isar-invest") {
-  fields f = usual(label_number, request_class);
+                            const std::string& tenant = "isar-invest", int ms_ago = 0) {
+  fields f = usual(label_number, request_class, -ms_ago);
   for (auto& [k, v] : f) {
     if (k == "team") v = tenant;
   }
--- a/tests/net/keyed_test.cpp
+++ b/tests/net/keyed_test.cpp
@@ -65,6 +65,40 @@
   CHECK(s.fake_runtime->expect("start") == label(5));
 }
 
+// The window of a key opens when the attempt that runs arrives at the host, and a repeat that arrives before
+// its end is a duplicate, no matter when either is read, also after a restart.
+void window_is_measured_between_arrivals() {
+  constexpr auto window = 4s;
+  site s({.write_aim_ms = 650});  // a window is at least six times as long
+  s.kill();
+  s.replace_setting("window = 10m", "window = " + std::to_string(window / 1s) + "s");
+  s.start();
+  std::optional<connection> c = s.thrift();
+  int attempts = 0;
+  const auto send_as_of = [&](clock::time_point arrival) {
+    ++attempts;
+    const int ms_ago = static_cast<int>((clock::now() - arrival) / 1ms);
+    c->send(write_of(attempts, attempts, "a", "price", "kurs-meldung", "isar-invest", ms_ago));
+  };
+  const auto first_arrival = clock::now() - 500ms;
+  send_as_of(first_arrival);
+  s.fake_runtime->end(s.fake_runtime->expect("start"), "fine", "YQ==");
+  CHECK(result(read_reply(*c)) == "a");
+  std::this_thread::sleep_until(first_arrival + window + 200ms);
+  send_as_of(first_arrival + window - 100ms);  // within the window, and read after it
+  CHECK(result(read_reply(*c)) == "a");
+  const auto second_arrival = clock::now();
+  send_as_of(second_arrival);  // after the window, although less than a window after the first was read
+  s.fake_runtime->end(s.fake_runtime->expect("start"), "fine", "Yg==");
+  CHECK(result(read_reply(*c)) == "b");
+  s.kill();
+  std::this_thread::sleep_until(second_arrival + window + 200ms);
+  s.start();
+  c = s.thrift();
+  send_as_of(second_arrival + window - 100ms);
+  CHECK(result(read_reply(*c)) == "b");
+}
+
 // A run continues when the client of its primary disconnects: waiting duplicates and later ones get the
 // result.
 void run_continues_after_client_disconnect() {
@@ -464,6 +498,7 @@
   const std::map<std::string, void (*)()> tests = {
       {"stored_result", duplicates_get_the_stored_result},
       {"coalescing", duplicates_are_coalesced},
+      {"window", window_is_measured_between_arrivals},
       {"client_disconnects", run_continues_after_client_disconnect},
       {"key_scope", keys_are_scoped},
       {"bad_keys", unusable_keys_are_rejected},
