Take a uwsgi response that a reset has cut for incomplete, and give lengths one meaning

Cause: without a Content-Length the body ends with the connection, and the exchange did not look at how the connection ended. A reset counted as an end, so that the first part of a response was passed on, and kept, as whole. Several Content-Length headers: the last one counted; near 2^64 the sum with the head's size wrapped round.

Change: a stream reports its loss as net::loss. Only the end of the stream ends a body; a reset is an incomplete response: 502 or another server for a safe request, an unknown outcome for a write. Equal lengths count as one, different ones and those above the bound are no valid response, and bytes beyond the length are not passed on.

--- a/src/admin/console_server.cpp
+++ b/src/admin/console_server.cpp
@@ -23,7 +23,7 @@
       : server_(server), stream_(server.reactor_, server.bounds_, *this, socket) {}
 
   std::size_t on_bytes(std::string_view bytes) override;
-  void on_lost(const char*) override { server_.drop(*this); }
+  void on_lost(net::loss) override { server_.drop(*this); }
 
   // Answers 400 with the reason, unless the connection was already answered.
   void reject(const char* reason);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -9,6 +9,16 @@
 
 namespace marblewharf::net {
 
+const char* text_of(loss cause) {
+  switch (cause) {
+    case loss::cannot_connect: return "cannot connect";
+    case loss::end_of_stream: return "closed by the peer";
+    case loss::reset: return "reset";
+    case loss::slow_peer: break;
+  }
+  return "peer reads too slowly";
+}
+
 stream::stream(reactor& event_loop, const limits& bounds, observer& callbacks,
                const Poco::Net::StreamSocket& socket)
     : reactor_(event_loop), bounds_(bounds), owner_(callbacks), socket_(socket) {
@@ -104,10 +114,10 @@
   }
 }
 
-void stream::fail(const char* reason) {
+void stream::fail(loss cause) {
   if (!open_) return;
   close();
-  owner_.on_lost(reason);
+  owner_.on_lost(cause);
 }
 
 void stream::on_readable(const readable&) {
@@ -118,11 +128,11 @@
   try {
     size = socket_.receiveBytes(reactor_.read_buffer().data(), static_cast<int>(max_size));
   } catch (const Poco::Exception& e) {
-    fail("reset");
+    fail(loss::reset);
     return;
   }
   if (size == 0) {
-    fail("closed by the peer");
+    fail(loss::end_of_stream);
   } else if (size > 0) {  // negative: no input is waiting
     process_input(static_cast<std::size_t>(size));
   }
@@ -158,7 +168,7 @@
   if (connecting_) {
     connecting_ = false;
     if (socket_.impl()->socketError() != 0) {
-      fail("cannot connect");
+      fail(loss::cannot_connect);
       return;
     }
     socket_.setNoDelay(true);
@@ -169,7 +179,7 @@
 }
 
 void stream::on_error(const error&) {
-  fail(connecting_ ? "cannot connect" : "socket error");
+  fail(connecting_ ? loss::cannot_connect : loss::reset);
 }
 
 void stream::send(std::string_view bytes) {
@@ -182,7 +192,7 @@
   // Bounds the memory used for peers that do not read their responses, for each connection and in total.
   const bool over_limit =
       output_.size() > bounds_.max_write_buffer_bytes || reactor_.buffered() > bounds_.max_buffered_bytes;
-  if (open_ && !output_.empty() && over_limit) fail("peer reads too slowly");
+  if (open_ && !output_.empty() && over_limit) fail(loss::slow_peer);
 }
 
 void stream::flush() {
@@ -192,7 +202,7 @@
     try {
       accepted = socket_.sendBytes(output_.data() + written, static_cast<int>(output_.size() - written));
     } catch (const Poco::Exception&) {
-      fail("reset");
+      fail(loss::reset);
       return;
     }
     if (accepted <= 0) break;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -13,6 +13,16 @@
 
 namespace marblewharf::net {
 
+// How a connection was lost.
+enum class loss {
+  cannot_connect,
+  end_of_stream,  // the peer has ended its output in order
+  reset,          // the peer or the network has broken the connection
+  slow_peer,      // closed by this side, because the peer reads too slowly
+};
+// The loss as a text for logs.
+const char* text_of(loss cause);
+
 class stream {
  public:
   class observer {
@@ -24,7 +34,7 @@
     // The connection is established. Not called for an accepted connection.
     virtual void on_open() {}
     // The connection was lost, and the stream has been closed. Called once, unless close() is called first.
-    virtual void on_lost(const char* reason) = 0;
+    virtual void on_lost(loss cause) = 0;
   };
 
   // An accepted connection. The references outlive the stream.
@@ -72,7 +82,7 @@
   void write_buffered_output();
   void watch_writable(bool enabled);
   // Closes the stream and reports the loss to the owner.
-  void fail(const char* reason);
+  void fail(loss cause);
 
   reactor& reactor_;
   const limits& bounds_;
--- a/src/runtime/transport.cpp
+++ b/src/runtime/transport.cpp
@@ -14,7 +14,7 @@
 
   std::size_t on_bytes(std::string_view bytes) override { return transport_.on_bytes(bytes); }
   void on_open() override { transport_.on_open(*this); }
-  void on_lost(const char* reason) override { transport_.on_lost(*this, reason); }
+  void on_lost(net::loss cause) override { transport_.on_lost(*this, net::text_of(cause)); }
 
   void send(const std::string& line) { stream_.send(line); }
   void close() { stream_.close(); }
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -43,7 +43,7 @@
       : server_(front), stream_(front.reactor_, front.config_.bounds, *this, socket) {}
 
   std::size_t on_bytes(std::string_view bytes) override;
-  void on_lost(const char*) override { server_.drop(*this); }
+  void on_lost(net::loss) override { server_.drop(*this); }
 
   void send(const std::string& frame);
   // Sends the caller a request to close the connection, at most once.
--- a/src/uwsgi/exchange.cpp
+++ b/src/uwsgi/exchange.cpp
@@ -26,11 +26,17 @@
   packet_.clear();
 }
 
+// Also if the Content-Length says so: then the rest is not waited for.
+bool exchange::is_too_long(const response_head& head) const {
+  const std::size_t received = response_.size() - head.size;
+  return head.content_length.value_or(received) > bounds_.max_result_bytes;
+}
+
 std::size_t exchange::on_bytes(std::string_view bytes) {
   response_ += bytes;
   try {
     if (!head_) head_ = decode_response_head(response_, bounds_);
-    if (head_ && response_.size() > head_->size + bounds_.max_result_bytes)
+    if (head_ && is_too_long(*head_))
       throw bad_response("body is longer than " + std::to_string(bounds_.max_result_bytes) + " bytes");
   } catch (const bad_response& error) {
     telemetry::log("bad-response", "uwsgi server: %s", error.what());
@@ -38,17 +44,21 @@
     return bytes.size();
   }
   if (head_ && head_->content_length && response_.size() >= head_->size + *head_->content_length) {
-    response_.resize(head_->size + *head_->content_length);
+    response_.resize(head_->size +
+                     *head_->content_length);  // bytes beyond the body are not part of the response
     end(exchange_end::complete);
   }
   return bytes.size();
 }
 
-void exchange::on_lost(const char*) {
-  if (connected_ && head_ && !head_->content_length) {
-    end(exchange_end::complete);  // without a Content-Length, the body ends with the connection
+// Without a Content-Length, the body ends where the server ends the connection in order. A connection that
+// broke may have lost the rest of the body.
+void exchange::on_lost(net::loss cause) {
+  const bool body_ends_here = head_ && !head_->content_length && cause == net::loss::end_of_stream;
+  if (!connected_) {
+    end(exchange_end::not_connected);
   } else {
-    end(connected_ ? exchange_end::incomplete : exchange_end::not_connected);
+    end(body_ends_here ? exchange_end::complete : exchange_end::incomplete);
   }
 }
 
--- a/src/uwsgi/exchange.hpp
+++ b/src/uwsgi/exchange.hpp
@@ -14,10 +14,10 @@
 namespace marblewharf::uwsgi {
 
 enum class exchange_end {
-  complete,       // a complete response was received
-  malformed,      // the received bytes are no valid response, or the response is too long
+  complete,       // a complete response was received; without a Content-Length, it ended with the connection
+  malformed,      // the received bytes are no valid response, or its body is or would be too long
   not_connected,  // no connection was established: no byte of the request can have arrived
-  incomplete,     // the connection was lost before a complete response; the request may have arrived
+  incomplete,  // the connection was lost or broken before a complete response; the request may have arrived
 };
 
 class exchange : public net::stream::observer {
@@ -38,10 +38,11 @@
   // net::stream::observer
   void on_open() override;
   std::size_t on_bytes(std::string_view bytes) override;
-  void on_lost(const char* reason) override;
+  void on_lost(net::loss cause) override;
 
  private:
   void end(exchange_end result);
+  bool is_too_long(const response_head& head) const;
 
   const limits& bounds_;
   std::string packet_;
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -52,7 +52,7 @@
       : server_(front), stream_(front.reactor_, front.config_.bounds, *this, socket) {}
 
   std::size_t on_bytes(std::string_view bytes) override;
-  void on_lost(const char*) override { server_.drop(*this); }
+  void on_lost(net::loss) override { server_.drop(*this); }
 
   // Sends the response and ends the connection; the caller is expected to close it.
   void respond(std::string_view response);
--- a/src/uwsgi/packet.cpp
+++ b/src/uwsgi/packet.cpp
@@ -158,8 +158,11 @@
         head.retry_after = std::chrono::seconds(std::min(*seconds, max_retry_after_s));
     }
     if (!is_header(line.substr(0, colon), "content-length")) continue;
-    head.content_length = to_count(trimmed(line.substr(colon + 1)));
-    if (!head.content_length) throw bad_response("Content-Length is not an unsigned integer");
+    const std::optional<std::size_t> length = to_count(trimmed(line.substr(colon + 1)));
+    if (!length) throw bad_response("Content-Length is not an unsigned integer");
+    if (head.content_length && head.content_length != length)
+      throw bad_response("several values of Content-Length");
+    head.content_length = length;
   }
 }
 
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -86,6 +86,12 @@
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
+  // Breaks the connection: the peer gets a reset instead of the end of the stream.
+  void reset() {
+    const linger at_once{1, 0};
+    CHECK(::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once) == 0);
+    close();
+  }
   void send(std::string_view bytes) {
     while (!bytes.empty()) {
       const ssize_t n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/tests/net/inquiry_test.cpp
+++ b/tests/net/inquiry_test.cpp
@@ -129,6 +129,20 @@
   std::string list_results() const { return run("results list " + folder + "/results").first; }
 };
 
+// The outcome of a write whose response was cut by a reset is unknown, and its server is asked.
+void cut_response_leaves_the_outcome_unknown() {
+  two_server_site s;
+  connection write = s.uwsgi(uwsgi_write("cut"));
+  auto [servers, accepted] = s.accept_write();
+  accepted.send("HTTP/1.1 200 OK\r\n\r\nhalf of the res");
+  std::this_thread::sleep_for(20ms);  // the node reads the first part before the reset
+  accepted.reset();
+  CHECK(starts_with(write.rest(), "HTTP/1.1 409 "));
+  connection repeat = s.uwsgi(uwsgi_write("cut"));
+  s.reply_to_inquiry(servers.receiver, whole_response());
+  CHECK(repeat.rest() == whole_response());
+}
+
 // Guards against a second run of a write that one server has applied, because another server never saw it:
 // the node asks only the server that got the write.
 void inquiries_ask_the_server_of_the_write() {
@@ -266,6 +280,7 @@
   const std::map<std::string, void (*)()> tests = {
       {"outcome", inquiries_find_the_outcome},
       {"servers", inquiries_ask_the_server_of_the_write},
+      {"cut_response", cut_response_leaves_the_outcome_unknown},
       {"after_crash", inquiries_after_a_crash_ask_the_server_of_the_write},
       {"server_away", server_that_is_away_keeps_the_outcome_unknown},
       {"unreachable_server", writes_pass_over_an_unreachable_server},
--- a/tests/net/uwsgi_test.cpp
+++ b/tests/net/uwsgi_test.cpp
@@ -104,6 +104,49 @@
   CHECK(starts_with(s.caller(request(write_path, "isar-invest", "x")).rest(), "HTTP/1.1 502 "));
 }
 
+// Guards against a cut response that is passed on as whole: without a Content-Length only an orderly end of
+// the connection ends the body. A reset is a failure; a read is tried on the other server.
+void cut_response_is_a_failure() {
+  const std::string cut = "HTTP/1.1 200 OK\r\n\r\n[{\"fund\":1},{\"fu";
+  site s;
+  const auto send_cut = [&](connection attempt) {
+    attempt.take(1);
+    attempt.send(cut);
+    std::this_thread::sleep_for(20ms);  // the node reads the first part before the reset
+    attempt.reset();
+  };
+  connection write = s.caller(request(write_path, "isar-invest", "x"));
+  send_cut(s.attempt());
+  CHECK(starts_with(write.rest(), "HTTP/1.1 502 "));
+  CHECK(s.no_attempt(100));
+  connection read = s.caller(request(read_path, "isar-invest", "x"));
+  send_cut(s.attempt());
+  s.attempt().send(ok_response());
+  CHECK(read.rest() == ok_response());
+}
+
+// The body ends after Content-Length bytes. Bytes beyond it are not passed on; the same length twice counts
+// as one; lengths that differ, or that no response may have, are failures.
+void content_length_has_one_meaning() {
+  site s;
+  const auto answer_to = [&](const std::string& response) {
+    connection c = s.caller(request(write_path, "isar-invest", "x"));
+    connection attempt = s.attempt();
+    attempt.take(1);
+    attempt.send(response);
+    return c.rest();
+  };
+  const auto response = [](const std::string& length, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n" + more + "\r\nbody";
+  };
+  CHECK(answer_to(response("4") + " and more") == response("4"));
+  CHECK(answer_to(response("4", "content-length: 4\r\n")) == response("4", "content-length: 4\r\n"));
+  CHECK(starts_with(answer_to(response("4", "Content-Length: 3\r\n")), "HTTP/1.1 502 "));
+  for (const char* length :
+       {"18446744073709551615", "18446744073709551580", "18446744073709551616", "-1", "4, 4"})
+    CHECK(starts_with(answer_to(response(length)), "HTTP/1.1 502 "));
+}
+
 // Guards against a second execution of a write: a write is not retried once a byte may have reached a server;
 // a read is retried on another server.
 void retries_only_safe_requests() {
@@ -310,6 +353,8 @@
   const std::map<std::string, void (*)()> tests = {
       {"served", forwards_byte_for_byte},
       {"failures", answers_failures_with_502},
+      {"cut_response", cut_response_is_a_failure},
+      {"content_length", content_length_has_one_meaning},
       {"repeats", retries_only_safe_requests},
       {"overdue", overdue_request_gets_504_and_is_cancelled},
       {"client_disconnects", disconnected_client_cancels_its_request},
