Release the key of a middleware request whose handler's thread has left before its run

Cause: a handler can only run on the thread that waits for it. If the request was answered at its deadline before its intent was on disk and a duplicate waited, the dispatcher still let the primary run; the gate dropped the order without a report, so that the key stayed open and the duplicates, and every later request with the key, waited until their deadlines.

Change: gate_impl::run reports a run without a waiting thread as rejected by the backend. The key is released and the duplicates are answered 503 with Retry-After. The gate takes the file system as an argument, so that a test can force the order.

--- a/src/config/limits.hpp
+++ b/src/config/limits.hpp
@@ -38,7 +38,7 @@
   int listen_backlog = 512;                                     // argument of listen()
   std::size_t max_write_buffer_bytes = std::size_t{144} << 10;  // bytes of unsent answers per connection
   std::size_t max_buffered_bytes = std::size_t{48} << 20;       // bytes buffered by all connections together
-  std::size_t max_stored_result_bytes = std::size_t{24} << 20;  // bytes of idempotent results in memory
+  std::size_t max_stored_result_bytes = std::size_t{24} << 20;  // idempotent results: memory and shared log
   // Bytes read per connection and reactor round. The limit prevents one connection from starving the others.
   std::size_t read_chunk_bytes = std::size_t{16} << 10;
   // As read_chunk, for a connection whose input is discarded.
--- a/src/middleware/gate.cpp
+++ b/src/middleware/gate.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr duration cpu_measuring_period = 250ms;
+constexpr duration retry_after_lost_handler = 1s;
 constexpr duration min_timer_wait = 1ms;
 constexpr duration max_timer_wait = 100ms;
 constexpr std::uint64_t min_segment_bytes = std::uint64_t{1} << 20;
@@ -68,11 +69,12 @@
 }  // namespace
 
 gate_impl::gate_impl(const admission_policy::settings& settings, std::optional<keyed_settings> keys,
-                     std::uint64_t seed)
+                     std::uint64_t seed, std::unique_ptr<store::file_system> files)
     : cores_(settings.cores),
       gauges_(settings.gauges),
       keys_(std::move(keys)),
       dispatcher_(policy_settings_of(settings, keys_), seed, steady_now(), counters_),
+      files_(std::move(files)),
       measured_at_(steady_now()) {
   dispatcher_.add_front(*this);
   if (keys_) open_store(settings);
@@ -94,7 +96,7 @@
     const std::lock_guard lock(mutex_);  // without the lock, the timer thread could miss the notification
     changed_.notify_all();
   };
-  store_ = std::make_unique<idempotency::durable_service>(files_, store_options_of(*keys_, settings),
+  store_ = std::make_unique<idempotency::durable_service>(*files_, store_options_of(*keys_, settings),
                                                           counters_, notify);
   store_->set_observer(dispatcher_);
   dispatcher_.enable_idempotency(*store_, {});
@@ -199,9 +201,15 @@
   }
 }
 
+// Only the thread of the request can run its handler. If the request was answered before its run began, the
+// run never starts, and requests with the same key are told to try again.
 void gate_impl::run(request_id id, const request&) {
   const auto found = waiting_.find(id);
-  if (found != waiting_.end()) found->second->state = attempt_state::running;
+  if (found == waiting_.end() || found->second->state != attempt_state::waiting) {
+    dispatcher_.on_backend_rejected(id, retry_after_lost_handler);
+    return;
+  }
+  found->second->state = attempt_state::running;
 }
 
 // ---- Time -------------------------------------------------------------------------------------------------
--- a/src/middleware/gate.hpp
+++ b/src/middleware/gate.hpp
@@ -49,7 +49,8 @@
   // Throws std::invalid_argument for invalid settings and std::runtime_error for a folder that cannot be
   // used.
   gate_impl(const admission_policy::settings& settings, std::optional<keyed_settings> keys,
-            std::uint64_t seed);
+            std::uint64_t seed,
+            std::unique_ptr<store::file_system> files = std::make_unique<store::posix_file_system>());
   ~gate_impl() override;
 
   // Returns the settings of a keyed class, or null if the class is not keyed.
@@ -96,7 +97,7 @@
   std::vector<std::string> gauges_;
   const std::optional<keyed_settings> keys_;
   dispatcher dispatcher_;
-  store::posix_file_system files_;
+  const std::unique_ptr<store::file_system> files_;
   std::unordered_map<request_id, attempt*> waiting_;  // owned by the threads that wait
   std::unordered_set<request_id> failed_while_running_;
   // CPU utilization of the cores, 0 to 1. The initial 1 keeps the policy from running more requests than
