Close the listeners before the log says that a successor accepts connections

Cause: a process that is replaced logged "a successor accepts new connections" at the notice, and closed its listeners later in the same round. A connection that was made in between could still reach it; such a client is asked to close instead of being served by the successor.

Change: shutdown_sequence::start() drains the fronts first and logs afterwards.

--- a/src/server/shutdown_sequence.cpp
+++ b/src/server/shutdown_sequence.cpp
@@ -7,20 +7,26 @@
 shutdown_sequence::shutdown_sequence(const limits& bounds, const shutdown_targets& targets)
     : bounds_(bounds), targets_(targets) {}
 
+// With a successor, the listeners are closed before the message, after which no new connection reaches this
+// process.
 void shutdown_sequence::start(time_point now, bool successor_took_over) {
+  shutdown_.emplace(now, successor_took_over, bounds_);
+  drain_connections(now);
   telemetry::log("drain", "shutdown notice received with %zu open requests%s",
                  targets_.requests.open_requests(),
                  successor_took_over ? "; a successor accepts new connections" : "");
-  shutdown_.emplace(now, successor_took_over, bounds_);
   targets_.requests.on_shutdown_notice(bounds_.shutdown_duration);
 }
 
+// A successor cannot serve the connections that this process keeps or accepts.
+void shutdown_sequence::drain_connections(time_point now) {
+  if (!shutdown_->drains_connections(now)) return;
+  targets_.thrift_server.begin_drain();
+  if (targets_.uwsgi_server) targets_.uwsgi_server->begin_drain();
+}
+
 bool shutdown_sequence::step(time_point now) {
-  // A successor cannot serve the connections that this process keeps or accepts.
-  if (shutdown_->drains_connections(now)) {
-    targets_.thrift_server.begin_drain();
-    if (targets_.uwsgi_server) targets_.uwsgi_server->begin_drain();
-  }
+  drain_connections(now);
   lifecycle::connection_progress progress;
   if (shutdown_->closes_connections(now)) progress.all_ended = end_connections();
   progress.all_closed = all_closed();
--- a/src/server/shutdown_sequence.hpp
+++ b/src/server/shutdown_sequence.hpp
@@ -30,13 +30,14 @@
 
   bool started() const { return shutdown_.has_value(); }
   // Starts the shutdown after the notice. If a successor accepts connections on the same address, the fronts
-  // drain at once.
+  // drain at once: the message in the log shows that no new connection reaches this process.
   void start(time_point now, bool successor_took_over);
   // Closes listeners and connections that are due; returns whether the process has to end. Called in each
   // round after start(), once the round's answers have been written.
   bool step(time_point now);
 
  private:
+  void drain_connections(time_point now);
   bool end_connections();
   bool all_closed() const;
 
