Decide in one module what is known of the effect of a remote run

Change: src/outcome has the states of an effect (not started, in flight, running, completed, failed before effect, unknown), the evidence as a typed value (event, server and its incarnation, number of the connection), the table of transitions and the conclusions. The link and the uwsgi client report events and use the conclusion; core asks which way a key goes (disposition_of).

--- a/src/core/backend.hpp
+++ b/src/core/backend.hpp
@@ -9,13 +9,6 @@
 
 namespace marblewharf {
 
-// A backend's reply to an inquiry about a request whose outcome the dispatcher does not know.
-enum class inquiry_outcome {
-  completed,  // the run completed, and the reply contains its result
-  never_ran,  // proven not to have run
-  unknown,    // the backend does not know the outcome or did not reply
-};
-
 // A backend reports the end of each run exactly once, through dispatcher::on_run_ended(). All functions are
 // called on the dispatcher's thread.
 class backend {
--- a/src/core/duplicate_coalescer.cpp
+++ b/src/core/duplicate_coalescer.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using outcome::key_disposition;
 
 // A keyed request is answered this long before its deadline, because the answer takes time to reach the
 // client and the dispatcher's last clock reading may be old.
@@ -143,16 +144,13 @@
   if (primary.group->stage != group_stage::running) return;
   if (std::exchange(primary.group->policy_awaits_end, false))
     admission_.report(completed{primary.id, end, elapsed});
-  switch (end) {
-    case run_end::succeeded:
-    case run_end::failed: record_result(primary, end == run_end::succeeded, result); break;
-    case run_end::lost:
-    case run_end::aborted:
+  switch (outcome::disposition_of(end)) {
+    case key_disposition::record_result: record_result(primary, end == run_end::succeeded, result); break;
+    case key_disposition::keep_unknown:
       store_->mark_outcome_unknown(primary.id);
       close_group(primary, answer_outcome_unknown, end);
       break;
-    case run_end::never_started:
-    case run_end::unknown_request:
+    case key_disposition::release:
       store_->release_key(primary.id);
       close_group(primary,
                   {.status = response_status::failed, .unknown_request = end == run_end::unknown_request},
@@ -314,13 +312,13 @@
 void duplicate_coalescer::on_inquired(request_id primary_id, inquiry_outcome end, std::string_view result) {
   request_entry* primary = find_primary(primary_id, group_stage::inquiring);
   if (primary == nullptr) return;
-  switch (end) {
-    case inquiry_outcome::completed: record_result(*primary, true, result); return;
-    case inquiry_outcome::never_ran:
+  switch (outcome::disposition_of(end)) {
+    case key_disposition::record_result: record_result(*primary, true, result); return;
+    case key_disposition::release:
       store_->release_key(primary_id);
       close_group(*primary, answer_retry_soon, run_end::never_started);
       return;
-    case inquiry_outcome::unknown: break;
+    case key_disposition::keep_unknown: break;
   }
   const duration delay = store_->schedule_inquiry_retry(primary_id);
   if (delay.count() > 0) {
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -1,4 +1,4 @@
-// Requests, the ways in which their runs end, and their answers, independent of any wire protocol.
+// Requests and their answers, independent of any wire protocol.
 #pragma once
 
 #include <cstdint>
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "admission_policy/policy.hpp"
+#include "outcome/run_end.hpp"
 
 namespace marblewharf {
 
@@ -32,16 +33,6 @@
   std::string server;
 };
 
-// How a run ended.
-enum class run_end {
-  succeeded,
-  failed,           // the run itself reported a failure
-  lost,             // the backend will never report an end; the request may have run
-  aborted,          // stopped by the backend after a pause decision
-  never_started,    // proven not to have run
-  unknown_request,  // the backend does not support such a request and ran nothing
-};
-
 enum class response_status { served, rejected, failed };
 
 // The final answer to a request. Each request gets exactly one.
--- a/src/middleware/gate.cpp
+++ b/src/middleware/gate.cpp
@@ -143,8 +143,7 @@
   finished.id = running.id;
   const bool failed_before = take_failed_while_running(running.id);
   if (!failed_before) waiting_.emplace(finished.id, &finished);
-  const run_end run_result = response ? run_end::succeeded : run_end::lost;
-  dispatcher_.on_run_ended(running.id, run_result,
+  dispatcher_.on_run_ended(running.id, outcome::end_of_handler(response.has_value()),
                            response ? std::string_view(*response) : std::string_view(),
                            steady_now() - running.started_at);
   step_and_notify();
--- a/src/runtime/command_sequence.cpp
+++ b/src/runtime/command_sequence.cpp
@@ -10,6 +10,14 @@
   transport_.send(encode(command));
 }
 
+void command_sequence::begin_connection() {
+  ++origin_.connection;
+}
+
+void command_sequence::begin_incarnation() {
+  ++origin_.server.incarnation;
+}
+
 void command_sequence::sync(std::uint64_t last_serial) {
   send(sync_command{last_serial});
 }
@@ -20,7 +28,7 @@
 }
 
 void command_sequence::start(tracked_run& run) {
-  run.start = start_progress::sent;
+  run.effect.apply({outcome::event::start_sent, origin_});
   run.restart_wanted = false;
   run.fence = queries_.next_number();
   send(start_command{run.label, classes_[run.request_class].name, run.payload});
--- a/src/runtime/command_sequence.hpp
+++ b/src/runtime/command_sequence.hpp
@@ -8,6 +8,7 @@
 
 #include "admission_policy/policy.hpp"
 #include "core/request.hpp"
+#include "outcome/effect.hpp"
 #include "runtime/gauge_queries.hpp"
 #include "runtime/messages.hpp"
 #include "runtime/tracked_run.hpp"
@@ -23,6 +24,12 @@
   command_sequence(transport& connection, const limits& bounds,
                    const std::vector<admission_policy::class_settings>& classes);
 
+  // All commands from now on are sent on a new connection, or to a restarted runtime.
+  void begin_connection();
+  void begin_incarnation();
+  // The connection in use, and the runtime process at its other end.
+  const outcome::origin& origin() const { return origin_; }
+
   void sync(std::uint64_t last_serial);
   // Requests the gauges; returns the number of the query.
   std::uint64_t query_gauges(time_point now);
@@ -45,6 +52,7 @@
   transport& transport_;
   const std::vector<admission_policy::class_settings>& classes_;
   gauge_queries queries_;
+  outcome::origin origin_;
 };
 
 }  // namespace marblewharf::runtime
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -8,6 +8,8 @@
 
 namespace marblewharf::runtime {
 
+using outcome::effect_state;
+using outcome::event;
 using telemetry::log;
 
 link::link(net::reactor& reactor, const config& settings, dispatcher& requests, telemetry::counters& counters)
@@ -25,7 +27,7 @@
 // The runtime identifies runs by label and accepts one run for each label. If a second request has the label
 // of an open one, it is kept and not sent. If the runtime then answers that it does not know the first
 // request, the second one is sent in its place; otherwise the second one ends as unknown, at once if the
-// start of the first has already been delivered. A request with an invented label can therefore not displace
+// start of the first has already been confirmed. A request with an invented label can therefore not displace
 // the genuine one by arriving first.
 void link::run(request_id id, const request& details) {
   const auto [position, inserted] = runs_.try_emplace(details.operation);
@@ -34,7 +36,7 @@
   if (!inserted) {
     log("bad-request", "label %s is already used by an open request", details.operation.c_str());
     tracked.conflicting_requests.push_back({id, details});
-    if (tracked.start == start_progress::delivered) reject_conflicting_request(tracked, id);
+    if (tracked.effect.state() == effect_state::running) reject_conflicting_request(tracked, id);
     return;
   }
   tracked.id = id;
@@ -62,13 +64,14 @@
     return;
   }
   tracked.stop_wanted = stop;
-  if (stop && tracked.start == start_progress::not_sent) {
-    finish(position, run_end::never_started, {}, {});
+  const effect_state known = tracked.effect.state();
+  if (stop && known == effect_state::not_started) {
+    finish(position, {}, {});
     return;
   }
   // A stop that is repeated before it is delivered would put off its delivery.
-  const bool stop_in_flight = tracked.start == start_progress::unconfirmed && stop && tracked.stop_sent &&
-                              !tracked.last_command_delivered;
+  const bool stop_in_flight =
+      known == effect_state::unknown && stop && tracked.stop_sent && !tracked.last_command_delivered;
   if (state_ == state::up && !tracked.probing && !stop_in_flight) commands_.stop_or_continue(tracked);
 }
 
@@ -83,8 +86,9 @@
 
 // If the runtime did not know the finished run, one of the conflicting requests may be the genuine one, so
 // they are started.
-void link::finish(run_table::iterator position, run_end end, std::string_view result, duration elapsed) {
+void link::finish(run_table::iterator position, std::string_view result, duration elapsed) {
   const tracked_run finished = std::move(position->second);
+  const run_end end = finished.effect.conclusion();
   labels_.erase(finished.id);
   runs_.erase(position);
   reactor_.wake();
@@ -101,9 +105,15 @@
 
 void link::lose_all_runs() {
   while (!runs_.empty()) {
-    const bool may_have_run = runs_.begin()->second.start != start_progress::not_sent;
-    finish(runs_.begin(), may_have_run ? run_end::lost : run_end::never_started, {}, {});
+    observe(runs_.begin()->second, event::server_restarted);
+    finish(runs_.begin(), {}, {});
   }
+  commands_.begin_incarnation();
+}
+
+// Returns whether the event of the connection in use proves something about the run.
+bool link::observe(tracked_run& run, outcome::event what) {
+  return run.effect.apply({what, commands_.origin()});
 }
 
 // Sends a gauge query whose answer confirms that all earlier commands have arrived. The state machine
@@ -119,7 +129,7 @@
   for (auto& [label, run] : runs_) {
     if (state_ != state::up) return;
     const bool restarts = run.restart_wanted && !run.stop_wanted;
-    if (run.start == start_progress::not_sent || restarts) {
+    if (run.effect.state() == effect_state::not_started || restarts) {
       commands_.start(run);
     } else if (run.stop_wanted != run.stop_sent && !run.probing) {
       commands_.stop_or_continue(run);
@@ -193,6 +203,7 @@
 void link::on_connected() {
   address_changed_ = false;
   state_ = state::syncing;
+  commands_.begin_connection();
   sync_sent_at_ = net::steady_now();
   commands_.sync(last_serial_);
 }
@@ -246,22 +257,22 @@
   if (!is_new(notice.serial)) return;
   const auto position = runs_.find(notice.label);
   if (position == runs_.end()) return;
+  tracked_run& run = position->second;
   if (notice.result.size() > config_.bounds.max_result_bytes) {
     log("bad-line", "runtime: result of %zu bytes exceeds the limit; run reported as lost",
         notice.result.size());
-    finish(position, run_end::lost, {}, notice.elapsed);
+    if (observe(run, event::response_unusable)) finish(position, {}, notice.elapsed);
     return;
   }
-  tracked_run& run = position->second;
   const bool probed = std::exchange(run.probing, false);
-  if (probed && notice.outcome == run_end::aborted && !run.stop_wanted) {
+  if (probed && notice.reported == event::run_aborted && !run.stop_wanted) {
     // The stop command of the probe has paused this run, and no stop is wanted: the run is continued.
-    run.start = start_progress::delivered;
+    observe(run, event::run_paused);
     run.stop_sent = true;
     if (state_ == state::up) commands_.stop_or_continue(run);
     return;
   }
-  finish(position, notice.outcome, notice.result, notice.elapsed);
+  if (observe(run, notice.reported)) finish(position, notice.result, notice.elapsed);
 }
 
 void link::on_notice(const gauges_notice& notice) {
@@ -274,11 +285,18 @@
   if (state_ == state::handing_over && query >= fence_query_) connect_successor(now);
 }
 
+// Whether commands for this run were sent on the connection in use and have not been confirmed.
+bool link::awaits_confirmation(const tracked_run& run) const {
+  const effect_state known = run.effect.state();
+  const bool start_unconfirmed = (known == effect_state::in_flight || known == effect_state::unknown) &&
+                                 run.effect.sent_to() == commands_.origin();
+  return start_unconfirmed || !run.last_command_delivered;
+}
+
 void link::on_delivered(std::uint64_t query) {
   std::vector<std::string> labels;
   for (const auto& [label, run] : runs_) {
-    const bool undelivered = run.start == start_progress::sent || !run.last_command_delivered;
-    if (run.fence <= query && undelivered) labels.push_back(label);
+    if (run.fence <= query && awaits_confirmation(run)) labels.push_back(label);
   }
   for (const std::string& label : labels) {
     const auto position = runs_.find(label);
@@ -290,12 +308,10 @@
   tracked_run& run = position->second;
   run.last_command_delivered = true;
   run.probing = false;
-  if (run.start == start_progress::unconfirmed) {
-    on_stop_without_effect(position);
+  if (!observe(run, event::start_confirmed)) {
+    if (run.effect.state() == effect_state::unknown) on_stop_without_effect(position);
     return;
   }
-  if (run.start != start_progress::sent) return;
-  run.start = start_progress::delivered;
   run.payload.clear();
   while (!run.conflicting_requests.empty())
     reject_conflicting_request(run, run.conflicting_requests.back().id);
@@ -303,13 +319,14 @@
 
 void link::on_stop_without_effect(run_table::iterator position) {
   tracked_run& run = position->second;
+  observe(run, event::stop_without_effect);
   switch (action_after_silence(run, may_run_twice(run))) {
     case unconfirmed_action::start_again:
       run.restart_wanted = true;
       if (state_ == state::up) commands_.start(run);
       return;
     case unconfirmed_action::wait_for_event: return;
-    case unconfirmed_action::report_lost: finish(position, run_end::lost, {}, {}); return;
+    case unconfirmed_action::report_lost: finish(position, {}, {}); return;
   }
 }
 
@@ -326,7 +343,7 @@
   for (const std::string& label : lost_labels) {
     if (state_ != state::up) return;
     commands_.stop(label);
-    finish(runs_.find(label), run_end::lost, {}, {});
+    finish(runs_.find(label), {}, {});
   }
   if (state_ != state::up) return;
   send_deferred_commands();
@@ -339,16 +356,18 @@
   std::vector<std::string> lost_labels;
   for (auto& [label, run] : runs_) {
     if (state_ != state::up) return lost_labels;
+    mark_unconfirmed_start(run);
     const recovery action = recovery_action_for(run, stops_pause, may_run_twice(run));
-    if (run.start == start_progress::sent) mark_unconfirmed(run);
     if (action == recovery::report_lost) lost_labels.push_back(label);
     recover(run, action);
   }
   return lost_labels;
 }
 
-void link::mark_unconfirmed(tracked_run& run) {
-  run.start = start_progress::unconfirmed;
+// A start that was sent on an earlier connection and is not confirmed may have been lost with it.
+void link::mark_unconfirmed_start(tracked_run& run) {
+  const outcome::origin sent_to = run.effect.sent_to();
+  if (sent_to == commands_.origin() || !run.effect.apply({event::connection_lost, sent_to})) return;
   ++counters_.unconfirmed_starts;
   log("runtime", "the start of %s is unconfirmed: the connection was lost behind it", run.label.c_str());
 }
@@ -369,8 +388,8 @@
   ++counters_.rejected_runtime_commands;
   log("nack", "runtime rejected %s of %s", notice.command.c_str(), notice.label.c_str());
   const auto position = runs_.find(notice.label);
-  if (notice.command == start_command_name && position != runs_.end())
-    finish(position, run_end::unknown_request, {}, {});
+  const bool is_of_a_start = notice.command == start_command_name && position != runs_.end();
+  if (is_of_a_start && observe(position->second, event::request_refused)) finish(position, {}, {});
 }
 
 void link::on_notice(const info_notice& notice) {
--- a/src/runtime/link.hpp
+++ b/src/runtime/link.hpp
@@ -102,11 +102,14 @@
   bool may_run_twice(const tracked_run& run) const;
   void finish_catching_up();
   std::vector<std::string> recover_runs();
-  void mark_unconfirmed(tracked_run& run);
+  void mark_unconfirmed_start(tracked_run& run);
   void recover(tracked_run& run, recovery action);
   void lose_all_runs();
   void reject_conflicting_request(tracked_run& run, request_id id);
-  void finish(run_table::iterator position, run_end end, std::string_view result, duration elapsed);
+  // Ends the run with the conclusion from the events that were observed.
+  void finish(run_table::iterator position, std::string_view result, duration elapsed);
+  bool observe(tracked_run& run, outcome::event what);
+  bool awaits_confirmation(const tracked_run& run) const;
 
   net::reactor& reactor_;
   const config& config_;
--- a/src/runtime/messages.cpp
+++ b/src/runtime/messages.cpp
@@ -45,11 +45,11 @@
   return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-run_end run_end_of(const std::string& value) {
-  if (value == "fine") return run_end::succeeded;
-  if (value == "fault") return run_end::failed;
-  if (value == "broken_off") return run_end::aborted;
-  if (value == "late") return run_end::never_started;
+outcome::event reported_event(const std::string& value) {
+  if (value == "fine") return outcome::event::run_succeeded;
+  if (value == "fault") return outcome::event::run_failed;
+  if (value == "broken_off") return outcome::event::run_aborted;
+  if (value == "late") return outcome::event::not_run;
   throw bad_line("the field how has an unknown value: " + value);
 }
 
@@ -63,7 +63,7 @@
 
 end_notice decode_end(const json::value& message) {
   end_notice decoded{
-      serial(message), text(message, "call"), run_end_of(text(message, "how")), elapsed(message), {}};
+      serial(message), text(message, "call"), reported_event(text(message, "how")), elapsed(message), {}};
   const json::value* blob = message.find("blob");
   if (blob != nullptr && blob->type == json::kind::string) decoded.result = decode_blob(blob->text);
   return decoded;
--- a/src/runtime/messages.hpp
+++ b/src/runtime/messages.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/request.hpp"
+#include "outcome/effect.hpp"
 
 namespace marblewharf::runtime {
 
@@ -26,11 +27,11 @@
   bool starting = false;  // false: the runtime was already running when this process connected
   duration uptime{};
 };
-// A run has ended.
+// A run has ended, or has not begun and will not begin.
 struct end_notice {
   std::uint64_t serial = 0;
   std::string label;
-  run_end outcome{};
+  outcome::event reported{};
   duration elapsed{};
   std::string result;
 };
--- a/src/runtime/tracked_run.cpp
+++ b/src/runtime/tracked_run.cpp
@@ -3,12 +3,14 @@
 namespace marblewharf::runtime {
 
 recovery recovery_action_for(const tracked_run& run, bool stops_pause, bool may_run_twice) {
-  switch (run.start) {
-    case start_progress::not_sent: return recovery::none;
-    case start_progress::delivered:
+  switch (run.effect.state()) {
+    case outcome::effect_state::not_started:
+    case outcome::effect_state::completed:
+    case outcome::effect_state::failed_before_effect: return recovery::none;
+    case outcome::effect_state::running:
       return run.last_command_delivered ? recovery::none : recovery::repeat_stop;
-    case start_progress::sent:
-    case start_progress::unconfirmed: break;
+    case outcome::effect_state::in_flight:
+    case outcome::effect_state::unknown: break;
   }
   if (stops_pause) return recovery::probe;
   return may_run_twice && !run.stop_wanted ? recovery::restart : recovery::report_lost;
--- a/src/runtime/tracked_run.hpp
+++ b/src/runtime/tracked_run.hpp
@@ -8,19 +8,10 @@
 #include <vector>
 
 #include "core/request.hpp"
+#include "outcome/effect.hpp"
 
 namespace marblewharf::runtime {
 
-// What is known of the delivery of a run's start command. Only an event proves how a run stands: the start
-// was never sent, or the runtime has confirmed its delivery, reported the end of the run, or rejected it.
-// That the runtime reports nothing proves nothing.
-enum class start_progress {
-  not_sent,     // never sent: the run has not started
-  sent,         // sent on the connection that is in use
-  unconfirmed,  // sent on a connection that was lost: it may or may not have arrived
-  delivered,    // the runtime has confirmed that it arrived
-};
-
 // A request whose label is already used by another open request.
 struct conflicting_request {
   request_id id{};
@@ -31,8 +22,8 @@
   request_id id{};
   std::string label;
   unsigned request_class = 0;
-  std::string payload;  // kept until the start command is delivered
-  start_progress start = start_progress::not_sent;
+  std::string payload;  // kept until the start command is confirmed
+  outcome::effect effect;
   // The gauge query whose answer confirms that all commands for this run have arrived.
   std::uint64_t fence = 0;
   bool stop_wanted = false;            // last request of the dispatcher: true = stop, false = continue
@@ -40,8 +31,8 @@
   bool last_command_delivered = true;  // whether the last stop or continue has arrived
   // A stop was sent only to find out whether the start arrived before the connection was lost.
   bool probing = false;
-  bool restart_wanted = false;  // an unconfirmed start is to be sent again once the link is up
-  std::vector<conflicting_request> conflicting_requests;  // kept until the start of this run is delivered
+  bool restart_wanted = false;  // a start that may not have arrived is to be sent again once the link is up
+  std::vector<conflicting_request> conflicting_requests;  // kept until the start of this run is confirmed
 };
 
 using run_table = std::unordered_map<std::string, tracked_run>;  // by label
@@ -63,7 +54,7 @@
 // this moment, and a second start would execute it again.
 recovery recovery_action_for(const tracked_run& run, bool stops_pause, bool may_run_twice);
 
-// What to do if the runtime has executed a stop of a run with an unconfirmed start and has reported nothing.
+// What to do if the runtime has executed a stop of a run with an unknown effect and has reported nothing.
 // Either the run never started, or the stop had no effect, because the cores stand still.
 enum class unconfirmed_action {
   start_again,     // the run may execute twice, which its effect allows
--- a/src/transaction/coordinator.cpp
+++ b/src/transaction/coordinator.cpp
@@ -155,7 +155,7 @@
   waiting_clients_.erase(client);
   reactor_.wake();
   const bool committed = report.outcome == client_outcome::committed;
-  dispatcher_.on_run_ended(client, committed ? run_end::succeeded : run_end::never_started,
+  dispatcher_.on_run_ended(client, outcome::end_of_decision(committed),
                            committed ? compose_result(transaction, config_) : std::string(),
                            net::steady_now() - transaction.begun_at);
 }
--- a/src/uwsgi/client.cpp
+++ b/src/uwsgi/client.cpp
@@ -7,6 +7,8 @@
 
 namespace marblewharf::uwsgi {
 
+using outcome::effect_state;
+using outcome::event;
 using telemetry::log;
 
 namespace {
@@ -20,19 +22,23 @@
 }  // namespace
 
 struct client::attempt {
-  attempt(request_id number, std::string bytes, bool safe, bool is_inquiry)
-      : id(number), payload(std::move(bytes)), repeatable(safe), inquiry(is_inquiry) {}
+  attempt(request_id number, std::string bytes, bool safe)
+      : id(number), payload(std::move(bytes)), repeatable(safe) {}
+  // An inquiry about a request whose effect is unknown.
+  attempt(request_id number, std::string bytes, const outcome::effect& inquired_effect)
+      : id(number), payload(std::move(bytes)), repeatable(true), inquiry(true), effect(inquired_effect) {}
 
   const request_id id;
   const std::string payload;
-  const bool repeatable;  // may be sent again although it may have arrived
-  const bool inquiry;     // asks for the outcome of a request, does not run it
+  const bool repeatable;       // may be sent again although it may have arrived
+  const bool inquiry = false;  // asks for the outcome of a request, does not run it
   const time_point started_at = net::steady_now();
   std::shared_ptr<exchange> current_exchange;
   std::size_t server = 0;
   bool server_is_named = false;  // only this server may be tried
   unsigned servers_tried = 0;
-  bool may_have_arrived = false;  // a byte of it may have arrived at a server
+  bool sent_again = false;  // after it may have arrived at a server
+  outcome::effect effect;   // of the request that is run or inquired about
 };
 
 client::client(net::reactor& reactor, const config& settings, dispatcher& requests,
@@ -74,7 +80,7 @@
 void client::run(request_id id, const request& details) {
   const bool safe =
       config_.policy_settings.classes[details.request_class].effect == admission_policy::request_effect::safe;
-  begin(std::make_shared<attempt>(id, details.payload, safe, false), server_named(details.server));
+  begin(std::make_shared<attempt>(id, details.payload, safe), server_named(details.server));
 }
 
 bool client::inquire(request_id id, const request& details) {
@@ -94,7 +100,8 @@
   }
   vars.emplace_back(config_.keyed->inquiry_var, config_.keyed->inquiry_value);
   vars.emplace_back("CONTENT_LENGTH", "0");
-  begin(std::make_shared<attempt>(id, encode_packet(vars, {}), true, true), server);
+  const auto inquired_effect = outcome::effect::recovered(details.server);
+  begin(std::make_shared<attempt>(id, encode_packet(vars, {}), inquired_effect), server);
   return true;
 }
 
@@ -116,6 +123,7 @@
       ++load_[current->server];
     }
     last_server_ = current->server;
+    if (!current->inquiry) observe(*current, event::start_sent);
     try {
       current->current_exchange = std::make_shared<exchange>(
           reactor_, config_.bounds, config_.uwsgi->servers[current->server], current->payload,
@@ -125,81 +133,92 @@
       return;
     } catch (const Poco::Exception& error) {
       log("uwsgi-server", "cannot connect to a server: %s", error.displayText().c_str());
+      observe(*current, event::server_unreachable);
     }
   }
   finish_unanswered(*current);
 }
 
+// Records what an event of the attempt's current server proves about the effect.
+void client::observe(attempt& current, outcome::event what) const {
+  current.effect.apply({what, {{server_names_[current.server], 0}, 0}});
+}
+
 // Called when no server is left to try.
 void client::finish_unanswered(attempt& finished) {
-  if (!finished.inquiry) {
-    finish_run_unanswered(finished);
+  if (finished.inquiry) {
+    if (finished.server_is_named) ++counters_.inquiries_without_server;
+    finish_inquiry(finished, {});
     return;
   }
-  if (finished.server_is_named) ++counters_.inquiries_without_server;
-  finish_inquiry(finished, inquiry_outcome::unknown, {});
-}
-
-void client::finish_run_unanswered(attempt& finished) {
-  if (finished.may_have_arrived) {
-    finish(finished, run_end::lost, {});
-  } else if (finished.server_is_named) {
+  if (finished.server_is_named && !finished.effect.may_have_started()) {
     const request_id id = finished.id;
     remove(finished);
     dispatcher_.on_server_unreachable(id);
-  } else {
-    finish(finished, run_end::never_started, {});
+    return;
   }
+  finish(finished, {});
 }
 
 void client::on_end(const std::shared_ptr<attempt>& ended, exchange_end end, const response_head* head,
                     std::string_view response) {
   // The copy keeps the attempt alive: `ended` may refer to the entry of attempts_ that is erased below.
   const auto current = ended;  // NOLINT(performance-unnecessary-copy-initialization): the copy is needed
+  if (end == exchange_end::incomplete) log("uwsgi-server", "attempt ended without a complete response");
+  if (current->inquiry) {
+    on_inquiry_end(current, end, head, response);
+  } else {
+    on_run_end(current, end, head, response);
+  }
+}
+
+void client::on_run_end(const std::shared_ptr<attempt>& current, exchange_end end, const response_head* head,
+                        std::string_view response) {
+  bool try_another_server = false;
   switch (end) {
     case exchange_end::complete:
-      if (current->inquiry) {
-        on_inquiry_response(current, head->status, response);
-        return;
-      }
       // A 5xx status is the server's report of its own failure.
-      finish(*current, head->status < first_server_error_status ? run_end::succeeded : run_end::failed,
-             response);
-      return;
-    case exchange_end::malformed:
-      if (current->inquiry) break;
-      finish(*current, run_end::lost, {});
-      return;
-    case exchange_end::not_connected: break;
-    case exchange_end::incomplete: {
-      log("uwsgi-server", "attempt ended without a complete response");
-      const bool sent_again = std::exchange(current->may_have_arrived, true);
-      if (current->inquiry || (current->repeatable && !sent_again)) break;
-      finish(*current, run_end::lost, {});
-      return;
-    }
+      observe(*current, head->status < first_server_error_status ? event::run_succeeded : event::run_failed);
+      break;
+    case exchange_end::malformed: observe(*current, event::response_unusable); break;
+    case exchange_end::not_connected:
+      observe(*current, event::server_unreachable);
+      try_another_server = true;
+      break;
+    case exchange_end::incomplete:
+      observe(*current, event::connection_lost);
+      try_another_server = current->repeatable && !std::exchange(current->sent_again, true);
+      break;
+  }
+  if (try_another_server) {
+    continue_at_next_server(current);
+  } else {
+    finish(*current, response);
   }
-  continue_at_next_server(current);
-}
-
-void client::continue_at_next_server(const std::shared_ptr<attempt>& current) {
-  current->current_exchange->close();
-  reactor_.retire(std::move(current->current_exchange));
-  try_next_server(current);
 }
 
-void client::on_inquiry_response(const std::shared_ptr<attempt>& current, unsigned status,
-                                 std::string_view response) {
-  if (status >= first_success_status && status <= last_success_status) {
-    finish_inquiry(*current, inquiry_outcome::completed, response);
+void client::on_inquiry_end(const std::shared_ptr<attempt>& current, exchange_end end,
+                            const response_head* head, std::string_view response) {
+  if (end != exchange_end::complete) {
+    continue_at_next_server(current);
     return;
   }
-  if (!current->server_is_named) {
+  const unsigned status = head->status;
+  if (status >= first_success_status && status <= last_success_status)
+    observe(*current, event::run_succeeded);
+  if (status == not_found_status) observe(*current, event::not_run);
+  const bool answered = current->effect.state() != effect_state::unknown;
+  if (answered || current->server_is_named) {
+    finish_inquiry(*current, response);
+  } else {
     continue_at_next_server(current);
-    return;
   }
-  const bool never_ran = status == not_found_status;
-  finish_inquiry(*current, never_ran ? inquiry_outcome::never_ran : inquiry_outcome::unknown, {});
+}
+
+void client::continue_at_next_server(const std::shared_ptr<attempt>& current) {
+  current->current_exchange->close();
+  reactor_.retire(std::move(current->current_exchange));
+  try_next_server(current);
 }
 
 void client::remove(attempt& finished) {
@@ -214,22 +233,27 @@
   reactor_.wake();
 }
 
-void client::finish(attempt& finished, run_end end, std::string_view response) {
+void client::finish(attempt& finished, std::string_view response) {
   const duration elapsed = net::steady_now() - finished.started_at;
   const request_id id = finished.id;
+  const run_end end = finished.effect.conclusion();
   remove(finished);
   dispatcher_.on_run_ended(id, end, end == run_end::succeeded ? response : std::string_view(), elapsed);
 }
 
-void client::finish_inquiry(attempt& finished, inquiry_outcome outcome, std::string_view response) {
+void client::finish_inquiry(attempt& finished, std::string_view response) {
   const request_id id = finished.id;
+  const inquiry_outcome reply = finished.effect.inquiry_conclusion();
   remove(finished);
-  dispatcher_.on_inquiry_reply(id, outcome, response);
+  dispatcher_.on_inquiry_reply(id, reply,
+                               reply == inquiry_outcome::completed ? response : std::string_view());
 }
 
 void client::pause(request_id id) {
   const auto found = attempts_.find(id);
-  if (found != attempts_.end()) finish(*found->second, run_end::aborted, {});
+  if (found == attempts_.end()) return;
+  observe(*found->second, event::abandoned);
+  finish(*found->second, {});
 }
 
 }  // namespace marblewharf::uwsgi
--- a/src/uwsgi/client.hpp
+++ b/src/uwsgi/client.hpp
@@ -12,6 +12,7 @@
 
 #include "config/config.hpp"
 #include "core/dispatcher.hpp"
+#include "outcome/effect.hpp"
 #include "uwsgi/exchange.hpp"
 
 namespace marblewharf::uwsgi {
@@ -46,14 +47,17 @@
   // Connects to the next server that has not been tried yet; finishes the attempt if there is none.
   void try_next_server(const std::shared_ptr<attempt>& current);
   void continue_at_next_server(const std::shared_ptr<attempt>& current);
-  void on_inquiry_response(const std::shared_ptr<attempt>& current, unsigned status,
-                           std::string_view response);
-  void finish_unanswered(attempt& finished);
-  void finish_run_unanswered(attempt& finished);
+  void observe(attempt& current, outcome::event what) const;
   void on_end(const std::shared_ptr<attempt>& ended, exchange_end end, const response_head* head,
               std::string_view response);
-  void finish(attempt& finished, run_end end, std::string_view response);
-  void finish_inquiry(attempt& finished, inquiry_outcome outcome, std::string_view response);
+  void on_run_end(const std::shared_ptr<attempt>& current, exchange_end end, const response_head* head,
+                  std::string_view response);
+  void on_inquiry_end(const std::shared_ptr<attempt>& current, exchange_end end, const response_head* head,
+                      std::string_view response);
+  void finish_unanswered(attempt& finished);
+  // Report the conclusion from the events that were observed.
+  void finish(attempt& finished, std::string_view response);
+  void finish_inquiry(attempt& finished, std::string_view response);
   // Closes the attempt's connection and forgets the attempt.
   void remove(attempt& finished);
   // `server`: the only server to try; none: all, beginning with the least loaded one.
--- a/tests/runtime/tracked_run_test.cpp
+++ b/tests/runtime/tracked_run_test.cpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "../check.hpp"
 
@@ -12,13 +13,23 @@
 namespace {
 
 constexpr bool pauses = true, safe = true;
+const outcome::origin connection{{"", 1}, 1};
+
+// The effect of a run after these events of its connection.
+outcome::effect after(const std::vector<outcome::event>& events) {
+  outcome::effect observed;
+  for (const outcome::event each : events) CHECK(observed.apply({each, connection}));
+  return observed;
+}
 
 // Guards against a second start of a run that may have started, unless its effect may repeat.
 void start_is_repeated_only_where_it_is_safe() {
   tracked_run run;
   CHECK(recovery_action_for(run, pauses, !safe) == recovery::none);
-  for (const start_progress unknown : {start_progress::sent, start_progress::unconfirmed}) {
-    run.start = unknown;
+  const outcome::effect in_flight = after({outcome::event::start_sent});
+  const outcome::effect unknown = after({outcome::event::start_sent, outcome::event::connection_lost});
+  for (const outcome::effect& unconfirmed : {in_flight, unknown}) {
+    run.effect = unconfirmed;
     CHECK(recovery_action_for(run, pauses, !safe) == recovery::probe);
     CHECK(recovery_action_for(run, pauses, safe) == recovery::probe);
     CHECK(recovery_action_for(run, !pauses, !safe) == recovery::report_lost);
@@ -26,7 +37,7 @@
   }
   run.stop_wanted = true;
   CHECK(recovery_action_for(run, !pauses, safe) == recovery::report_lost);
-  run.start = start_progress::delivered;
+  run.effect = after({outcome::event::start_sent, outcome::event::start_confirmed});
   CHECK(recovery_action_for(run, pauses, !safe) == recovery::none);
   run.last_command_delivered = false;
   CHECK(recovery_action_for(run, pauses, !safe) == recovery::repeat_stop);
@@ -35,7 +46,7 @@
 // Guards against a conclusion from silence: a stop without effect proves nothing about the run.
 void silence_proves_nothing() {
   tracked_run run;
-  run.start = start_progress::unconfirmed;
+  run.effect = after({outcome::event::start_sent, outcome::event::connection_lost});
   CHECK(action_after_silence(run, safe) == unconfirmed_action::start_again);
   CHECK(action_after_silence(run, !safe) == unconfirmed_action::wait_for_event);
   run.stop_wanted = true;
