Leave a write unknown that was not sent to this log of transactions

What callers saw: a keyed write of unknown outcome ran a second time after its class had got participants, or after `writes` had got another folder. Cause: the coordinator read a missing record in its log as "never ran", also for a write that went to a uwsgi server or to another log.

Change: the intent of a transaction names its log by the folder's salt; a missing record frees the key only if the intent names this log. The rule is that of src/outcome (the word of the only server that got the start).

--- a/src/transaction/coordinator.hpp
+++ b/src/transaction/coordinator.hpp
@@ -95,6 +95,9 @@
   const transaction_plan* plan_of(const request& client_request) const;
   std::string scoped_key(const request& client_request) const;
   void inquire_result(request_id id, const std::string& key, const outcome_id& outcome);
+  // The name of the log in the intents of its requests.
+  std::string log_name() const;
+  inquiry_outcome outcome_of_missing(const request& client_request) const;
 
   // Processing of open transactions.
   void advance(const std::shared_ptr<open_transaction>& transaction);
--- a/src/transaction/coordinator_intake.cpp
+++ b/src/transaction/coordinator_intake.cpp
@@ -3,12 +3,22 @@
 #include <cstdio>
 #include <utility>
 
+#include "outcome/effect.hpp"
+#include "telemetry/telemetry.hpp"
 #include "transaction/admission.hpp"
 #include "transaction/coordinator.hpp"
 #include "upstream/response_deadline.hpp"
 
 namespace marblewharf::transaction {
 
+using telemetry::log;
+
+namespace {
+
+constexpr std::size_t max_log_name_size = 32;  // including the terminating zero
+
+}  // namespace
+
 const transaction_plan* coordinator::plan_of(const request& client_request) const {
   return find_plan(*config_.transactions, client_request.request_class);
 }
@@ -43,7 +53,7 @@
 
 std::optional<std::string> coordinator::choose_server(const request& client_request,
                                                       const std::vector<std::string>& unreachable) {
-  if (plan_of(client_request) != nullptr) return std::string();
+  if (plan_of(client_request) != nullptr) return log_.is_open() ? log_name() : std::string();
   return fan_out_.choose_server(client_request, unreachable);
 }
 
@@ -126,9 +136,8 @@
   const outcome_cache::key hash = hash_of(key);
   const outcome_cache::outcome outcome = outcomes_.find(hash);
   switch (outcome.state) {
-    // The transaction was aborted, or its begin record was never durable, so no participant was contacted.
     case outcome_cache::status::unknown:
-      dispatcher_.on_inquiry_reply(id, inquiry_outcome::never_ran, {});
+      dispatcher_.on_inquiry_reply(id, outcome_of_missing(client_request), {});
       break;
     case outcome_cache::status::open: dispatcher_.on_inquiry_reply(id, inquiry_outcome::unknown, {}); break;
     case outcome_cache::status::committed: inquire_result(id, key, {outcome.number, hash}); break;
@@ -136,6 +145,24 @@
   return true;
 }
 
+// The log identifies itself by its salt: another folder, or an emptied one, has another salt.
+std::string coordinator::log_name() const {
+  char name[max_log_name_size];
+  std::snprintf(name, sizeof name, "writes:%016llx", static_cast<unsigned long long>(salt_));
+  return name;
+}
+
+// A transaction that is not in the log was aborted, or its begin record was never durable, so that no
+// participant was contacted. This says nothing about a request that was not sent to this log.
+inquiry_outcome coordinator::outcome_of_missing(const request& client_request) const {
+  outcome::effect inquired = outcome::effect::recovered(client_request.server);
+  if (!inquired.apply({outcome::event::not_run, {{log_name(), 0}, 0}}))
+    log("writes", "the outcome of a request stays unknown: it was sent to %s, not to the log %s",
+        client_request.server.empty() ? "an unknown server" : client_request.server.c_str(),
+        log_name().c_str());
+  return inquired.inquiry_conclusion();
+}
+
 void coordinator::inquire_result(request_id id, const std::string& key, const outcome_id& outcome) {
   if (!log_.read_result(id, key, outcome)) dispatcher_.on_inquiry_reply(id, inquiry_outcome::unknown, {});
 }
--- a/tests/net/transaction_recovery_test.cpp
+++ b/tests/net/transaction_recovery_test.cpp
@@ -24,7 +24,9 @@
 // A node whose request class kurs-meldung is a transaction over the participants of its settings.
 class site {
  public:
-  explicit site(const std::vector<named_participant>& participants) {
+  // `server`: the uwsgi server of requests without participants; empty: one that cannot be reached.
+  explicit site(const std::vector<named_participant>& participants, const std::string& server = "")
+      : server_(server.empty() ? own_host() + ":1" : server) {
     char name[] = "/tmp/marblewharf-recovery-XXXXXX";
     CHECK(::mkdtemp(name) != nullptr);
     folder_ = name;
@@ -46,6 +48,8 @@
     price_node_ = std::make_unique<node>(runtime_.at, options);
     price_node_->logged(" start: n0");
   }
+  // Changes the folder of the transaction log for the next start.
+  void use_log_folder(const std::string& name) { log_folder_ = name; }
   // Kills the node and starts it with these participants.
   void restart(const std::vector<named_participant>& participants) {
     price_node_->signal(SIGKILL);
@@ -76,19 +80,20 @@
       names += (names.empty() ? "" : ", ") + each.name;
     }
     return "uwsgi {\n listen = \"" + own_host() + ":" + std::to_string(port_) + "\"\n servers = {\"" +
-           own_host() + ":1\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\n" + dependencies +
-           "class kurs-meldung {\n uwsgi_values = {\"/kurs/meldung\"}\n keyed = yes\n window = 10m\n "
-           "participants = {" +
-           names + "}\n}\nkeyed {\n folder = \"" + folder_ +
+           server_ + "\"}\n class_var = PATH_INFO\n tenant_var = REMOTE_USER\n}\n" + dependencies +
+           "class kurs-meldung {\n uwsgi_values = {\"/kurs/meldung\"}\n keyed = yes\n window = 10m\n" +
+           (names.empty() ? "" : " participants = {" + names + "}\n") + "}\nkeyed {\n folder = \"" + folder_ +
            "/results\"\n uwsgi_var = KEY\n inquiry_tries = 1\n inquiry_pause = 20ms\n}\nwrites {\n folder = "
            "\"" +
-           folder_ +
-           "/writes\"\n step_var = STEP\n id_var = WRITE_ID\n retry = 60ms\n longest_retry = 200ms\n}\n";
+           folder_ + "/" + log_folder_ +
+           "\"\n step_var = STEP\n id_var = WRITE_ID\n retry = 60ms\n longest_retry = 200ms\n}\n";
   }
 
   peers::idle_runtime runtime_;
   int port_ = free_port();
+  const std::string server_;
   std::string folder_;
+  std::string log_folder_ = "writes";
   std::unique_ptr<node> price_node_;
 };
 
@@ -125,6 +130,12 @@
     const connection client = node.ask(key);
     wait_until([&] { return konto.steps(key) == (moment == kill_moment::before_commit ? "p" : "pc"); });
   }
+  // Leaves a transaction open, and restarts the node with these participants, all of which accept now.
+  void restart_with(const std::vector<named_participant>& participants, site& node, kill_moment moment) {
+    leave_open(node, moment);
+    failing = false;
+    node.restart(participants);
+  }
   // Whether both participants have got the decision, and only this decision; recovery repeats it.
   bool ended(kill_moment moment) {
     CHECK(!misdirected);
@@ -160,9 +171,7 @@
     open_transactions open;
     participant depot;
     site node(open.settings());
-    open.leave_open(node, moment);
-    open.failing = false;
-    node.restart({{"depot", {&depot}}, {"buch", {&open.buch}}, {"konto", {&open.konto}}});
+    open.restart_with({{"depot", {&depot}}, {"buch", {&open.buch}}, {"konto", {&open.konto}}}, node, moment);
     wait_until([&] { return open.ended(moment); });
     CHECK(depot.transactions() == 0);
   }
@@ -186,9 +195,7 @@
     open_transactions open;
     participant depot;
     site node(open.settings());
-    open.leave_open(node, moment);
-    open.failing = false;
-    node.restart(change(open, depot));
+    open.restart_with(change(open, depot), node, moment);
     CHECK(node.status(open_transactions::key_of(moment)) == "409");
     std::this_thread::sleep_for(several_retries);
     CHECK(open.untouched(moment) && depot.transactions() == 0);
@@ -243,6 +250,43 @@
   }
 }
 
+// Guards against a second effect of a write that went to a uwsgi server: after the class has got
+// participants, the log of transactions has no record of the write, which proves nothing.
+void added_participants_leave_earlier_writes_unknown() {
+  std::atomic<int> received = 0;
+  const peers::uwsgi_server server([&received](const uwsgi_request&) {
+    ++received;
+    return reaction{{}, manner::hang};
+  });
+  open_transactions open;
+  open.failing = false;
+  site node({}, server.address());
+  const connection client = node.ask("x");
+  wait_until([&] { return received == 1; });
+  node.restart(open.settings());
+  for (int attempt = 0; attempt < 2; ++attempt) CHECK(node.status("x") == "409");
+  CHECK(received == 1 && open.konto.transactions() == 0 && open.buch.transactions() == 0);
+}
+
+// Guards against a second effect of a transaction whose log is not that of the settings. In its own log it is
+// continued, and an abort frees its key.
+void other_log_leaves_the_transaction_unknown() {
+  for (const kill_moment moment : both_moments) {
+    open_transactions open;
+    site node(open.settings());
+    node.use_log_folder("other");
+    open.restart_with(open.settings(), node, moment);
+    const std::string key = open_transactions::key_of(moment);
+    for (int attempt = 0; attempt < 2; ++attempt) CHECK(node.status(key) == "409");
+    CHECK(open.untouched(moment));
+    node.use_log_folder("writes");
+    node.restart(open.settings());
+    wait_until([&] { return open.ended(moment); });
+    const std::string expected = moment == kill_moment::after_commit ? "200" : "503";
+    wait_until([&] { return node.status(key) == expected; });
+  }
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -254,7 +298,9 @@
       {"renamed", renamed_participant_holds_the_transaction},
       {"swapped", swapped_addresses_hold_the_transaction},
       {"removed_endpoint", removed_endpoint_holds_the_transaction},
-      {"moved", moved_participant_gets_its_steps}};
+      {"moved", moved_participant_gets_its_steps},
+      {"added", added_participants_leave_earlier_writes_unknown},
+      {"other_log", other_log_leaves_the_transaction_unknown}};
   tests.at(argv[1])();
   return 0;
 }
