Reserve disk space for the name of a transaction log in an intent

With short server names, the last intents before a full folder could have taken more than was reserved.

Change: max_server_name_bytes covers the log's name where the settings have transactions.

--- a/src/server/durable_idempotency.cpp
+++ b/src/server/durable_idempotency.cpp
@@ -9,6 +9,7 @@
 
 #include "net/reactor.hpp"
 #include "server/random_seed.hpp"
+#include "transaction/coordinator.hpp"
 
 namespace marblewharf::server {
 namespace {
@@ -27,6 +28,8 @@
     for (const endpoint& server : settings.uwsgi->servers)
       options.max_server_name_bytes = std::max(options.max_server_name_bytes, name_of(server).size());
   }
+  if (settings.transactions)
+    options.max_server_name_bytes = std::max(options.max_server_name_bytes, transaction::log_name_bytes);
   options.max_key_bytes = keyed.max_key_bytes;
   options.max_result_bytes = settings.bounds.max_result_bytes + settings.bounds.max_response_head_bytes;
   options.max_keys = keyed.max_keys;
--- a/src/transaction/coordinator.hpp
+++ b/src/transaction/coordinator.hpp
@@ -37,6 +37,9 @@
 
 namespace marblewharf::transaction {
 
+// Size of the name of a log in intents: "writes:" and 16 hexadecimal digits.
+inline constexpr std::size_t log_name_bytes = 23;
+
 class coordinator : public backend {
  public:
   // Opens the log's folder and resumes its open transactions, unless another process holds the folder.
--- a/src/transaction/coordinator_intake.cpp
+++ b/src/transaction/coordinator_intake.cpp
@@ -13,12 +13,6 @@
 
 using telemetry::log;
 
-namespace {
-
-constexpr std::size_t max_log_name_size = 32;  // including the terminating zero
-
-}  // namespace
-
 const transaction_plan* coordinator::plan_of(const request& client_request) const {
   return find_plan(*config_.transactions, client_request.request_class);
 }
@@ -147,7 +141,7 @@
 
 // The log identifies itself by its salt: another folder, or an emptied one, has another salt.
 std::string coordinator::log_name() const {
-  char name[max_log_name_size];
+  char name[log_name_bytes + 1];
   std::snprintf(name, sizeof name, "writes:%016llx", static_cast<unsigned long long>(salt_));
   return name;
 }
