Say what to do about a folder of results that a later version has used

The line that refuses the start said which record is unknown, and not what an operator can do; docs/oncall.md had no row for it.

--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -33,8 +33,10 @@
 // A record whose checksums are valid but whose content is not: a later version or another program wrote it.
 // Its key must not be forgotten, so the folder is not used.
 store::damaged unknown_record(const std::string& folder, std::uint32_t type) {
-  return store::damaged(folder + ": a record of type " + std::to_string(type) +
-                        " is unknown to this version, so no key may be recovered without it");
+  return store::damaged(
+      folder + ": a record of type " + std::to_string(type) +
+      " is of a later version, and keys would be forgotten without it; start that version, or "
+      "use another folder once the windows of its keys have ended");
 }
 
 }  // namespace
