--- a/tests/idempotency/durable_service_test.cpp
+++ b/tests/idempotency/durable_service_test.cpp
@@ -55,10 +55,13 @@
 };
 
 struct fixture : front, backend {
-  explicit fixture(duration deadline = 20s) : dispatch(settings_of(deadline), 1, steady(), counters) {
+  // `killed`: a node whose folder this one finds as a kill would leave it now; null: an empty folder.
+  explicit fixture(duration deadline = 20s, const fixture* killed = nullptr)
+      : dispatch(settings_of(deadline), 1, steady(), counters) {
     char name[] = "/tmp/marblewharf-durable-XXXXXX";
     CHECK(::mkdtemp(name) != nullptr);
     folder = name;
+    if (killed != nullptr) std::filesystem::copy(killed->folder + "/results", folder + "/results");
     dispatch.add_front(*this);
     dispatch.on_server_up(false, steady() - 60s);
     open();
@@ -86,6 +89,8 @@
     o.classes = {"kurs-meldung"};
     o.segment = 64 << 10;
     o.retry_disk = 20ms;
+    o.inquiry_tries = 1;
+    o.max_server_name_bytes = 8;
     o.unix_now = 1000s;
     o.steady_now = steady();
     service = std::make_unique<idempotency::durable_service>(disk, o, counters, [] {});
@@ -105,9 +110,19 @@
     results[id] = final.result;
   }
   void close_idle(duration) override {}
+  std::optional<std::string> choose_server(const request&,
+                                           const std::vector<std::string>& unreachable) override {
+    if (unreachable.size() == servers.size()) return std::nullopt;
+    return servers[unreachable.size()];
+  }
   void run(request_id id, const request& started) override {
     ++runs[started.key];
     running.push_back(id);
+    last_server = started.server;
+  }
+  bool inquire(request_id, const request& inquired) override {
+    last_server = inquired.server;
+    return true;
   }
   void pause(request_id) override { CHECK(false && "a keyed run must not be paused"); }
   void resume(request_id) override {}
@@ -144,6 +159,8 @@
   std::map<request_id, std::string> results;
   std::map<std::string, int> runs;
   std::vector<request_id> running;
+  std::vector<std::string> servers = {""};
+  std::string last_server;  // of the last run or inquiry
 };
 
 // While the disk fails, no intent can be written: requests are rejected and must not run. After the disk
@@ -266,6 +283,58 @@
   CHECK(f.dispatch.open_requests() == 0 && f.service->table().open() == 0);
 }
 
+// The server of the unfinished run of "a" that a node asks after the kill of `killed`.
+std::string server_asked_after_the_kill_of(const fixture& killed) {
+  fixture restarted(20s, &killed);
+  restarted.submit("a");
+  restarted.step_until([&] { return !restarted.last_server.empty(); });
+  CHECK(restarted.runs.empty());
+  return restarted.last_server;
+}
+
+// Guards against a run at a server that no intent on disk names. The first server of a run cannot be reached,
+// and the node is killed before and after the intent for the next one is durable.
+void next_server_waits_for_its_intent() {
+  fixture f;
+  f.servers = {"first:1", "other:1"};
+  const request_id id = f.submit("a");
+  f.step_until([&] { return f.runs["a"] == 1; });
+  CHECK(f.last_server == "first:1" && server_asked_after_the_kill_of(f) == "first:1");
+  f.disk.sync_blocked = true;
+  f.dispatch.on_server_unreachable(id);
+  f.step_for(100ms);
+  CHECK(f.runs["a"] == 1);  // no byte was sent to the other server
+  f.disk.sync_blocked = false;
+  f.step_until([&] { return f.runs["a"] == 2; });
+  CHECK(f.last_server == "other:1" && server_asked_after_the_kill_of(f) == "other:1");
+  f.end_run("done");
+  f.step_until([&] { return f.answered(id); });
+  CHECK(f.status_of(id) == response_status::served);
+}
+
+// The disk fails before the intent for the next server is durable: the request is rejected and has run
+// nowhere.
+void next_server_gets_nothing_if_its_intent_fails() {
+  fixture f;
+  f.servers = {"first:1", "other:1"};
+  const request_id id = f.submit("a");
+  f.step_until([&] { return f.runs["a"] == 1; });
+  f.disk.failing = true;
+  f.dispatch.on_server_unreachable(id);
+  f.step_until([&] { return f.answered(id); });
+  CHECK(f.status_of(id) == response_status::rejected && f.runs["a"] == 1);
+  f.disk.failing = false;
+  request_id repeat = 0;
+  f.step_until([&] {
+    if (repeat == 0 || f.answered(repeat)) repeat = f.submit("a");
+    return f.runs["a"] == 2;
+  });
+  CHECK(f.last_server == "first:1");
+  f.end_run("done");
+  f.step_until([&] { return f.answered(repeat); });
+  CHECK(f.status_of(repeat) == response_status::served);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -274,7 +343,9 @@
       {"duplicate_while_recording", duplicate_arrives_while_the_result_is_recorded},
       {"late_record", result_is_recorded_after_the_deadline},
       {"group_commit", one_sync_for_many_writes},
-      {"cancelled_clients", cancelled_primary_keeps_its_key_for_duplicates}};
+      {"cancelled_clients", cancelled_primary_keeps_its_key_for_duplicates},
+      {"next_server", next_server_waits_for_its_intent},
+      {"next_server_disk_failure", next_server_gets_nothing_if_its_intent_fails}};
   tests.at(argv[1])();
   return 0;
 }
--- a/tests/net/dependencies_test.cpp
+++ b/tests/net/dependencies_test.cpp
@@ -141,6 +141,14 @@
   }
 }
 
+// Guards against a part that is cut off by a reset and passed on as whole.
+void cut_part_is_missing() {
+  site s(two_parts);
+  for (uwsgi_server* endpoint : {&s.kurse1, &s.kurse2}) endpoint->change(behaves(manner::cut));
+  const std::string a = s.answer();
+  CHECK(contains(a, "Partial: yes") && part(a, "kurse") == "missing " && part(a, "stamm") == "fresh DAX");
+}
+
 // The fallbacks of a part are tried in their order: another dependency, a stale response, a fixed text.
 void fallbacks_are_tried_in_order() {
   site s(
@@ -268,6 +276,7 @@
       {"fallbacks", fallbacks_are_tried_in_order},
       {"stale_by_member", stale_parts_stay_with_their_member},
       {"shared_part", shared_parts_are_common_to_all_members},
+      {"cut_part", cut_part_is_missing},
       {"required_part", missing_required_part_fails_the_request},
       {"recovered_endpoints", recovered_endpoints_are_used_again},
       {"disconnect_and_shutdown", client_disconnect_and_shutdown_during_fan_out},
--- a/tests/net/transaction_recovery_test.cpp
+++ b/tests/net/transaction_recovery_test.cpp
@@ -56,6 +56,14 @@
     price_node_->wait();
     start(participants);
   }
+  // Starts a second process with these participants, and kills the first one, whose folders it takes over.
+  void replace(const std::vector<named_participant>& participants) {
+    const std::unique_ptr<node> predecessor = std::move(price_node_);
+    start(participants);
+    predecessor->signal(SIGKILL);
+    predecessor->wait();
+    price_node_->logged("/writes: taken over from the other process");
+  }
   connection ask(const std::string& key) {
     connection c = connection::to(port_);
     c.send(uwsgi_peer::packet({{"PATH_INFO", "/kurs/meldung"},
@@ -250,6 +258,36 @@
   }
 }
 
+// Guards against steps to the wrong participants where a process with other settings takes over from one that
+// still runs, instead of being started after it.
+void successor_continues_by_name() {
+  for (const kill_moment moment : both_moments) {
+    open_transactions open;
+    participant depot;
+    site node(open.settings());
+    open.leave_open(node, moment);
+    node.replace({{"depot", {&depot}}, {"buch", {&open.buch}}, {"konto", {&open.konto}}});
+    open.failing = false;
+    wait_until([&] { return open.ended(moment); });
+    CHECK(depot.transactions() == 0);
+  }
+}
+
+// The same with a participant that the successor's settings do not have.
+void successor_without_a_participant_holds_the_transaction() {
+  for (const kill_moment moment : both_moments) {
+    open_transactions open;
+    site node(open.settings());
+    open.leave_open(node, moment);
+    node.replace({{"buch", {&open.buch}}});
+    open.failing = false;
+    CHECK(node.status(open_transactions::key_of(moment)) == "409");
+    std::this_thread::sleep_for(several_retries);
+    CHECK(open.untouched(moment));
+    node.price_node().logged("0 open transactions, 1 that are not resumed");
+  }
+}
+
 // Guards against a second effect of a write that went to a uwsgi server: after the class has got
 // participants, the log of transactions has no record of the write, which proves nothing.
 void added_participants_leave_earlier_writes_unknown() {
@@ -299,6 +337,8 @@
       {"swapped", swapped_addresses_hold_the_transaction},
       {"removed_endpoint", removed_endpoint_holds_the_transaction},
       {"moved", moved_participant_gets_its_steps},
+      {"successor", successor_continues_by_name},
+      {"successor_removed", successor_without_a_participant_holds_the_transaction},
       {"added", added_participants_leave_earlier_writes_unknown},
       {"other_log", other_log_leaves_the_transaction_unknown}};
   tests.at(argv[1])();
--- a/tests/net/writing_test.cpp
+++ b/tests/net/writing_test.cpp
@@ -118,6 +118,23 @@
   CHECK(s.konto.steps("long").find('a') == std::string::npos);
 }
 
+// Guards against a response of a participant that is cut off by a reset and counts as a whole one: a commit
+// is repeated until its result is whole, and a vote that is not whole is not a yes.
+void cut_response_is_no_answer() {
+  site s;
+  std::atomic<int> cut_commits = 0;
+  s.buch.change([&](const uwsgi_request& q) {
+    const bool cut = q.vars.at("KEY") == "vote" ? q.vars.at("STEP") == "prepare"
+                                                : q.vars.at("STEP") == "commit" && cut_commits++ == 0;
+    return reaction{{}, cut ? manner::cut : manner::whole, "buchung-4711"};
+  });
+  const std::string committed = s.answer("commit");
+  CHECK(site::status(committed) == "200" && committed.find("\r\n\r\nbuchung-4711\r\n") != std::string::npos);
+  CHECK(cut_commits == 2 && s.buch.steps("commit") == "pc");
+  CHECK(site::status(s.answer("vote")) != "200");
+  wait_until([&] { return s.konto.steps("vote") == "pa" && s.buch.steps("vote") == "a"; });
+}
+
 // The number of stored outcomes is bounded: a write beyond the bound is rejected with a Retry-After before
 // any participant is called, and is accepted again once the first outcomes have expired.
 void stored_outcomes_are_bounded() {
@@ -234,6 +251,7 @@
 
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {{"open_for_long", open_transaction_survives_compaction},
+                                                   {"cut_response", cut_response_is_no_answer},
                                                    {"outcomes_bounded", stored_outcomes_are_bounded},
                                                    {"folder_full", full_folder_rejects_writes},
                                                    {"compaction", compaction_bounds_the_folder},
--- a/tests/peers/uwsgi_server.hpp
+++ b/tests/peers/uwsgi_server.hpp
@@ -29,6 +29,7 @@
   refuse,   // 409
   reset,    // closes the connection without a response
   half,     // sends half of the response, then closes the connection
+  cut,      // sends half of the body without Content-Length, then resets the connection
   hang,     // sends the first byte, then nothing
   garbage,  // sends bytes that are not HTTP
   huge,     // sends a large body without Content-Length
@@ -154,6 +155,10 @@
     bool close = true;
     switch (state.answer->how) {
       case manner::whole: put(fd, response); break;
+      case manner::cut:
+        put(fd, "HTTP/1.1 200 OK\r\n\r\n" + state.answer->body.substr(0, state.answer->body.size() / 2));
+        reset_at_close(fd);
+        break;
       case manner::busy: put(fd, "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"); break;
       case manner::error: put(fd, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"); break;
       case manner::refuse: put(fd, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"); break;
@@ -172,6 +177,10 @@
     ::close(fd);
     open_.erase(fd);
   }
+  static void reset_at_close(int fd) {
+    const linger at_once{1, 0};
+    CHECK(::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once) == 0);
+  }
   static void put(int fd, const std::string& bytes) {
     [[maybe_unused]] const ssize_t n = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
