--- a/tests/net/inquiry_test.cpp
+++ b/tests/net/inquiry_test.cpp
@@ -118,6 +118,18 @@
     CHECK(starts_with(write.rest(), "HTTP/1.1 409 "));
     return found;
   }
+  // Repeats a write whose server cannot be asked: the outcome stays unknown, and the other server is not
+  // asked.
+  void expect_no_answer_about(const std::string& key, const listener& other) {
+    constexpr int repeats = 2;
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+      CHECK(starts_with(uwsgi(uwsgi_write(key)).rest(), "HTTP/1.1 409 "));
+      std::this_thread::sleep_for(beyond_inquiry_pause);
+    }
+    CHECK(!other.waiting(50));
+    price_node->signal(SIGUSR1);
+    price_node->logged("inquiries_without_server=" + std::to_string(repeats));
+  }
   static void reply_to_inquiry(listener& server, const std::string& response) {
     connection inquiry = server.accept();
     inquiry.take(4);
@@ -180,13 +192,7 @@
   const std::string other_only = "{\"" + s.name_of(other) + "\"}";
   s.replace_setting(in_order, other_only);
   s.start();
-  for (int attempt = 0; attempt < 2; ++attempt) {
-    CHECK(starts_with(s.uwsgi(uwsgi_write("crashed")).rest(), "HTTP/1.1 409 "));
-    std::this_thread::sleep_for(beyond_inquiry_pause);
-  }
-  CHECK(!other.waiting(50));
-  s.price_node->signal(SIGUSR1);
-  s.price_node->logged("inquiries_without_server=2");
+  s.expect_no_answer_about("crashed", other);
   s.kill();
 
   s.replace_setting(other_only, "{\"" + s.name_of(s.second_server) + "\", \"" + s.name_of(s.server) + "\"}");
@@ -202,13 +208,7 @@
   two_server_site s;
   const auto [receiver, other] = s.leave_outcome_unknown("away");
   receiver.close();
-  for (int attempt = 0; attempt < 2; ++attempt) {
-    CHECK(starts_with(s.uwsgi(uwsgi_write("away")).rest(), "HTTP/1.1 409 "));
-    std::this_thread::sleep_for(beyond_inquiry_pause);
-  }
-  CHECK(!other.waiting(50));
-  s.price_node->signal(SIGUSR1);
-  s.price_node->logged("inquiries_without_server=2");
+  s.expect_no_answer_about("away", other);
 }
 
 // A write whose chosen server cannot be reached runs at the other server, and its intent names that one.
