Do not let a run that nobody waits for close a cold node to all others

On a server that appears slow, as a cold one does, a request whose estimate is above its objective starts only if no run is on the cores. The stuck run never left them, although its caller had been answered.

Change: unconditional_starts counts only runs that a caller still waits for. Slots, memory and work ahead count all runs as before.

--- a/src/admission_policy/load_shedder.cpp
+++ b/src/admission_policy/load_shedder.cpp
@@ -12,11 +12,21 @@
 // This server appears slow when a unit of work takes more than this many times its best time.
 constexpr double locally_slow_factor = 1.6;
 
+running_counts count_running(const request_table& requests) {
+  running_counts counts;
+  counts.all = requests.running().size();
+  counts.awaited =
+      static_cast<std::size_t>(std::count_if(requests.running().begin(), requests.running().end(),
+                                             [](const auto& run) { return !run.entry->answered; }));
+  return counts;
+}
+
 }  // namespace
 
-double unconditional_starts(const server_load& load, std::size_t running) {
-  if (load.time_per_unit > locally_slow_factor * load.best_time_per_unit) return running == 0 ? 1 : 0;
-  return std::max(0.0, load.cores - static_cast<double>(running));
+double unconditional_starts(const server_load& load, running_counts running) {
+  const bool appears_slow = load.time_per_unit > locally_slow_factor * load.best_time_per_unit;
+  if (appears_slow) return running.awaited == 0 ? 1 : 0;
+  return std::max(0.0, load.cores - static_cast<double>(running.all));
 }
 
 queue_forecast::queue_forecast(const server_load& load, const request_table& requests,
@@ -26,7 +36,7 @@
       calls_in_flight_(requests.in_call_count()),
       now_(now),
       calls_ahead_(static_cast<double>(requests.awaiting_call().size())),
-      unconditional_starts_(unconditional_starts(load, requests.running().size())) {
+      unconditional_starts_(unconditional_starts(load, count_running(requests))) {
   for (const auto& run : requests.running()) {
     calls_ahead_ += calls.expected_calls(*run.entry);
     work_ahead_s_ += remaining_seconds(*run.entry, now, load.time_per_unit);
--- a/src/admission_policy/load_shedder.hpp
+++ b/src/admission_policy/load_shedder.hpp
@@ -37,10 +37,17 @@
   double unconditional_starts_;
 };
 
+// Numbers of runs on the cores.
+struct running_counts {
+  std::size_t all = 0;
+  std::size_t awaited = 0;  // a caller still waits for their answer
+};
+
 // Number of queued requests that start at once regardless of their estimates: the number of free cores, or
-// one on an idle server that appears slow. Otherwise every server could
-// reject a request only because it is large, and the estimate could not recover when no requests run.
-double unconditional_starts(const server_load& load, std::size_t running);
+// one on a server that appears slow and has no run that a caller waits for. Otherwise every server could
+// reject a request only because it is large, and the estimate could not recover when no requests run. A run
+// that was answered without its end may never end, so it does not keep the next request out.
+double unconditional_starts(const server_load& load, running_counts running);
 
 // The retry-after for a rejected request: half of the time that the queued work takes, at least one control
 // window and at most `max_retry_after`.
--- a/tests/admission_policy/load_shedder_test.cpp
+++ b/tests/admission_policy/load_shedder_test.cpp
@@ -60,10 +60,11 @@
 TEST_F(LoadShedder, StartsOneRequestUnconditionallyOnAnIdleServerThatAppearsSlow) {
   server_load load = two_slots;
   load.time_per_unit = 0.16;
-  EXPECT_EQ(unconditional_starts(load, 0), 2);
+  EXPECT_EQ(unconditional_starts(load, {0, 0}), 2);
   load.time_per_unit = 0.161;
-  EXPECT_EQ(unconditional_starts(load, 0), 1);
-  EXPECT_EQ(unconditional_starts(load, 1), 0);
+  EXPECT_EQ(unconditional_starts(load, {0, 0}), 1);
+  EXPECT_EQ(unconditional_starts(load, {1, 1}), 0);
+  EXPECT_EQ(unconditional_starts(load, {1, 0}), 1);  // nobody waits for the run
 }
 
 TEST_F(LoadShedder, AdvisesHalfOfTheQueueTimeWithinBounds) {
--- a/tests/admission_policy/policy_test.cpp
+++ b/tests/admission_policy/policy_test.cpp
@@ -75,6 +75,34 @@
   EXPECT_EQ(harness.ids_of<start>(), (id_list{3}));
 }
 
+// Guards against a run that does not end and closes a cold server to all others. The server cannot tell yet
+// how long a run takes, so it starts one request at a time; the run that nobody waits for is not that one.
+TEST(SlowStart, RunThatNobodyWaitsForDoesNotKeepOthersOut) {
+  settings policy_settings = plain_settings();
+  policy_settings.classes[0] = {.name = "write",
+                                .latency_objective = 400ms,
+                                .deadline = 1200ms,
+                                .effect = request_effect::keyed,
+                                .idempotency_window = 10s};
+  policy_settings.cores = 64;
+  policy_settings.cold_start = true;
+  policy_settings.cold_start_capacity = 0.21;
+  policy_settings.slow_start_duration = 18s;
+  policy_settings.halt = halt_mode::pause;
+  policy_harness harness(policy_settings);
+  harness.send({make_arrival(1)});
+  EXPECT_TRUE(harness.has<start>(1));
+  harness.send_at(100ms, {make_arrival(2)});
+  EXPECT_TRUE(harness.has<reject>(2));  // the first run may still show how long a run takes
+  harness.send_at(1200ms, {timer_with_cpu_busy(0.1)});
+  EXPECT_TRUE(harness.has<fail>(1));
+  harness.send_at(1300ms, {make_arrival(3), make_arrival(4)});
+  EXPECT_EQ(harness.ids_of<start>(), (id_list{3}));
+  EXPECT_EQ(harness.ids_of<reject>(), (id_list{4}));
+  harness.send_at(1320ms, {successful_completion(3, 20ms), make_arrival(5)});
+  EXPECT_EQ(harness.ids_of<start>(), (id_list{5}));
+}
+
 // A quota of 4 over 2 servers gives a rate of 2 per second here, and the shortest objective of 1 s a burst
 // of 2. Tenant 0 sends four requests at once. Two are within the curve and start at 0, the third exceeds it
 // and still starts at 0, the fourth starts at 0.5 s. A request of tenant 1 at 0.02 s runs before the fourth
