Take back the keys of their own for tenants beyond the settings

The fault is on the roadmap as reproduced and not mended: the old scope has to be asked beside the new one.

--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -1,7 +1,6 @@
 #include "idempotency/durable_service.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace marblewharf::idempotency {
@@ -10,26 +9,18 @@
 
 namespace {
 
-const std::string unnamed_tenant_prefix = "#";
-
 std::size_t longest_name_bytes(const std::vector<std::string>& names) {
   std::size_t max_bytes = 0;
   for (const std::string& name : names) max_bytes = std::max(max_bytes, name.size());
   return max_bytes;
 }
 
-std::size_t longest_scope_bytes(const std::vector<std::string>& tenants) {
-  const std::size_t unnamed_bytes =
-      unnamed_tenant_prefix.size() + std::numeric_limits<unsigned>::digits10 + 1;
-  return std::max(longest_name_bytes(tenants), unnamed_bytes);
-}
-
 key_table_options table_options_of(const durable_service_options& options) {
   key_table_options table;
   table.max_keys = options.max_keys;
   table.max_open_keys = options.max_open_keys;
   table.max_intent_bytes = max_intent_bytes({.key = options.max_key_bytes,
-                                             .tenant = longest_scope_bytes(options.tenants),
+                                             .tenant = longest_name_bytes(options.tenants),
                                              .request_class = longest_name_bytes(options.classes),
                                              .server = options.max_server_name_bytes});
   table.max_result_bytes = max_result_bytes(options.max_result_bytes);
@@ -160,17 +151,13 @@
 
 // ---- Requests ---------------------------------------------------------------------------------------------
 
-// A tenant that the settings do not name has a scope of its own, by its number: no tenant gets the result of
-// another one. The first tenant of settings without tenants has the empty scope.
-std::string durable_service::tenant_scope(unsigned tenant) const {
-  if (tenant < options_.tenants.size()) return options_.tenants[tenant];
-  if (tenant == 0) return {};
-  return unnamed_tenant_prefix + std::to_string(tenant);
+std::string_view durable_service::tenant_name(unsigned tenant) const {
+  return tenant < options_.tenants.size() ? std::string_view(options_.tenants[tenant]) : std::string_view();
 }
 
 claim_result durable_service::claim(request_id id, const request& claimant) {
   const std::chrono::nanoseconds window = options_.windows.at(claimant.request_class);
-  const key_id key = key_id_of(tenant_scope(claimant.tenant), options_.classes.at(claimant.request_class),
+  const key_id key = key_id_of(tenant_name(claimant.tenant), options_.classes.at(claimant.request_class),
                                claimant.key, salt_);
   const key_claim claim = claim_key(id, key, claimant.fingerprint, window, claimant);
   if (claim.status == claim_status::completed) readers_[id] = {key, claim.result_at};
@@ -205,9 +192,8 @@
 void durable_service::write_intent(request_id primary, const request& claimant) {
   const claimed_key& claimed = primary_key(primary);
   table_.begin_intent(claimed.key, servers_.index_of(claimant.server));
-  const std::string scope = tenant_scope(claimant.tenant);
   key_record record = record_of(record_type::intent, claimed);
-  record.tenant = scope;
+  record.tenant = tenant_name(claimant.tenant);
   record.request_class = options_.classes.at(claimant.request_class);
   record.client_key = claimant.key;
   record.server = claimant.server;
