--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
-// Two classes of the platform are keyed. The operator's file keeps the results of one of them (cancel-slot)
-// on disk; the other (book-slot) is left to the platform's settings. A balancer's connection is reset just
-// as the answer comes, and the balancer tries again within the window. No booking may run twice.
+// Two classes of the platform are keyed. The operator's file keeps the results of one of them (kurs-meldung)
+// on disk; the other (kurs-liste) is left to the platform's settings. A balancer's connection is reset just
+// as the answer comes, and the balancer tries again within the window. No write may run twice.
 #include "../site-2.hpp"
 
 using namespace review;
@@ -23,16 +23,16 @@
   runtime cores(out);
   catalog list;
   site_options site{harness::free_port(), cores.port(), list.port, harness::free_port()};
-  std::string config = kingston_config(site);
-  const std::string second = "{\"Name\":\"book-slot\"";
-  config.insert(config.find(second),
-                "{\"Name\":\"cancel-slot\",\"Effect\":\"keyed\",\"Credit\":3.0,\"LateValue\":0.0,"
-                "\"Objective\":1100000000,\"Deadline\":3700000000,\"Window\":11163000000},");
+  std::string config = munich_config(site);
+  const std::string meldung = "{\"Name\":\"kurs-meldung\"";
+  config.insert(config.find(meldung),
+                "{\"Name\":\"kurs-liste\",\"Effect\":\"keyed\",\"Credit\":1.0,\"LateValue\":0.0,"
+                "\"Objective\":2900000000,\"Deadline\":8800000000,\"Window\":5000000000},");
   const std::string flags = "[false,false]", worths = "[0.0,0.0]";
   config.replace(config.find(flags), flags.size(), "[false,false,false]");
   config.replace(config.find(worths), worths.size(), "[0.0,0.0,0.0]");
   const std::string operators =
-      "class \"cancel-slot\" {\n keyed = yes\n window = 24h\n}\nkeyed {\n folder = \"" + folder.path +
+      "class \"kurs-meldung\" {\n keyed = yes\n window = 24h\n}\nkeyed {\n folder = \"" + folder.path +
       "/results\"\n thrift_field = unique\n}\n";
   process node(folder.path, config, operators);
   wait_ready(site.console_port);
@@ -41,15 +41,15 @@
   int twice = 0;
   constexpr int writes = 20;
   for (int i = 1; i <= writes; ++i) {
-    const std::string verb = i % 2 == 0 ? "book-slot" : "cancel-slot";
+    const std::string verb = i % 2 == 0 ? "kurs-liste" : "kurs-meldung";
     const std::string body = verb + " " + std::to_string(i);
     if (trouble()) {
-      ask_and_reset(site.listen_port, harness::execute(1, fields_of(2 * i, verb, 3500, key_of(i)), body));
+      ask_and_reset(site.listen_port, harness::execute(1, fields_of(2 * i, verb, key_of(i)), body));
       out.line("client: first try of %s: its connection was reset as the answer came", body.c_str());
       std::this_thread::sleep_for(100ms);
     }
     const std::string kind =
-        ask(site.listen_port, harness::execute(1, fields_of(2 * i + 1, verb, 3500, key_of(i)), body), 5s);
+        ask(site.listen_port, harness::execute(1, fields_of(2 * i + 1, verb, key_of(i)), body), 5s);
     out.line("client: %s of %s: %s", trouble() ? "second try" : "only try", body.c_str(), kind.c_str());
     const int runs = cores.runs_of(body);
     out.line("runtime: %s ran %d times", body.c_str(), runs);
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,4 +1,4 @@
-// A site without tenants: the settings list none, and `team` is empty. Searches and bookings are sent; each
+// A site without tenants: the settings list none, and `team` is empty. Reads and keyed writes are sent; each
 // needs one final answer by the deadline of its class and the slack.
 #include "../site-2.hpp"
 
@@ -10,22 +10,22 @@
   runtime cores(out);
   catalog list;
   site_options site{harness::free_port(), cores.port(), list.port, harness::free_port(), !trouble()};
-  process node(folder.path, kingston_config(site));
+  process node(folder.path, munich_config(site));
   wait_ready(site.console_port);
   std::this_thread::sleep_for(1s);
-  const std::string team = trouble() ? "" : "desk-north";
+  const std::string team = trouble() ? "" : "isar-invest";
   out.line("the settings list %s tenants; team is \"%s\"", trouble() ? "no" : "two", team.c_str());
 
-  constexpr int requests = 40;                 // half of them searches, half bookings
-  constexpr int longest_due = 4500 + 60 + 50;  // the longer of the two classes' deadlines, and the slack
+  constexpr int requests = 40;                 // half of them reads, half writes
+  constexpr int longest_due = 7300 + 80 + 50;  // the longer of the two classes' deadlines, and the slack
   std::mutex guard;
   std::map<std::string, std::map<std::string, int>> heard;
   std::vector<std::thread> callers;
   for (int i = 1; i <= requests; ++i) {
     callers.emplace_back([&, i] {
-      const bool booking = i % 2 == 0;
-      const std::string verb = booking ? "book-slot" : "slot-search";
-      const harness::fields f = fields_of(i, verb, 3500, booking ? key_of(i) : "", team);
+      const bool keyed_write = i % 2 == 0;
+      const std::string verb = keyed_write ? "kurs-meldung" : "kurs-abfrage";
+      const harness::fields f = fields_of(i, verb, keyed_write ? key_of(i) : "", team);
       const std::string kind = ask(site.listen_port, harness::execute(1, f, verb + " " + std::to_string(i)),
                                    std::chrono::milliseconds(longest_due + 1000));
       out.line("client: %s %d: %s", verb.c_str(), i, kind.empty() ? "NO ANSWER" : kind.c_str());
--- a/review/standins-2.hpp
+++ b/review/standins-2.hpp
@@ -154,8 +154,9 @@
   std::string path;
 };
 
-// The runtime of one process of a node, on a thread of its own. Each run takes `run_ms`; its result is the
-// body. While `hangs`, no run makes progress, but commands are read and gauges are answered.
+// The runtime of one process of a node, on a thread of its own. Stops drop the run. Each run takes `run_ms`;
+// its result is the body. While `hangs`, no run makes progress, but commands are read and gauges are
+// answered.
 class runtime {
  public:
   explicit runtime(record& out, int run_ms = 50) : out_(out), run_ms_(run_ms) {
