--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int window_ms = 5000;  // of both classes
+
 // Sends one try and resets the connection once the first byte of the answer can be read.
 void ask_and_reset(int port, const std::string& frame) {
   harness::connection client = harness::connection::to(port);
@@ -43,17 +45,19 @@
   for (int i = 1; i <= writes; ++i) {
     const std::string verb = i % 2 == 0 ? "kurs-liste" : "kurs-meldung";
     const std::string body = verb + " " + std::to_string(i);
+    const std::int64_t first_door = unix_ms();
     if (trouble()) {
       ask_and_reset(site.listen_port, harness::execute(1, fields_of(2 * i, verb, key_of(i)), body));
       out.line("client: first try of %s: its connection was reset as the answer came", body.c_str());
       std::this_thread::sleep_for(100ms);
     }
+    const bool in_window = unix_ms() - first_door < window_ms;
     const std::string kind =
         ask(site.listen_port, harness::execute(1, fields_of(2 * i + 1, verb, key_of(i)), body), 5s);
     out.line("client: %s of %s: %s", trouble() ? "second try" : "only try", body.c_str(), kind.c_str());
     const int runs = cores.runs_of(body);
     out.line("runtime: %s ran %d times", body.c_str(), runs);
-    twice += runs > 1;
+    twice += runs > 1 && in_window;
   }
   CHECK(node.runs());
   out.line("%d of %d writes ran twice", twice, writes);
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -40,7 +40,7 @@
   for (const auto& [verb, kinds] : heard) {
     for (const auto& [kind, count] : kinds) {
       out.line("%s: %s %d", verb.c_str(), kind.empty() ? "no answer" : kind.c_str(), count);
-      if (kind.empty() || kind == "closed") lost += count;
+      if (kind.empty()) lost += count;
     }
   }
   std::istringstream log(node.log());
