Store results by class: a class on disk no longer switches off those in memory

Cause: where results are stored was a property of the process. enable_durable_idempotency() reset the store in memory for all classes; the Thrift front then had one key field and the windows of the file alone, the dispatcher had one store and one time for runs to end, and the uwsgi front knew only keys on disk. By the same cause a file without thrift_field took the platform's key field away, and its window could be shorter than the platform's.

Change: result_storage_of() and key rules by class and front (config/key_rules); a store and a time to end for each class in duplicate_coalescer; both stores beside each other, each through its own hand-over; the window is at least the platform's. The start logs where each class has its results; the figures of both stores are added (they would have overwritten each other), keys_in_memory and bytes_in_memory show the part in memory.

--- a/bench/keyed_bench.cpp
+++ b/bench/keyed_bench.cpp
@@ -221,7 +221,7 @@
     options.steady_now = steady();
     service = std::make_unique<idempotency::durable_service>(disk, options, fixture.counters, [] {});
     service->set_observer(fixture.dispatch);
-    fixture.dispatch.enable_idempotency(*service, 10s);
+    fixture.dispatch.enable_idempotency(*service, 10s, options.windows);
   }
   std::vector<double> steps_us;
   std::uint64_t last_key = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -200,21 +200,35 @@
   bounds.descriptors = static_cast<std::size_t>(limit("sockets", min_descriptors, largest_limit));
 }
 
-std::optional<memory_idempotency_config> memory_idempotency_of(const admission_policy::settings& settings,
-                                                               const limits& bounds) {
-  memory_idempotency_config repeats;
-  repeats.max_bytes = bounds.max_stored_result_bytes;
-  bool any_keyed = false;
+std::vector<std::chrono::nanoseconds> platform_windows_of(const admission_policy::settings& settings,
+                                                          const limits& bounds) {
+  std::vector<std::chrono::nanoseconds> windows;
   for (const admission_policy::class_settings& request_class : settings.classes) {
     const bool keyed = request_class.effect == admission_policy::request_effect::keyed &&
                        request_class.idempotency_window.count() > 0;
-    repeats.windows.push_back(keyed ? request_class.idempotency_window + bounds.rule_slack
-                                    : std::chrono::nanoseconds{});
-    repeats.longest_deadline = std::max(repeats.longest_deadline, request_class.deadline);
-    any_keyed = any_keyed || keyed;
+    windows.push_back(keyed ? request_class.idempotency_window + bounds.rule_slack
+                            : std::chrono::nanoseconds{});
   }
-  if (!any_keyed) return std::nullopt;
-  return repeats;
+  return windows;
+}
+
+// Lists of windows may be empty, if no class is keyed.
+std::chrono::nanoseconds window_at(const std::vector<std::chrono::nanoseconds>& windows, std::size_t index) {
+  return index < windows.size() ? windows[index] : std::chrono::nanoseconds{};
+}
+
+bool any_window(const std::vector<std::chrono::nanoseconds>& windows) {
+  return std::any_of(windows.begin(), windows.end(), [](auto window) { return window.count() > 0; });
+}
+
+std::optional<memory_idempotency_config> memory_idempotency_of(const config& settings) {
+  if (!any_window(settings.platform_windows)) return std::nullopt;
+  memory_idempotency_config memory;
+  memory.windows = settings.platform_windows;
+  memory.max_bytes = settings.bounds.max_stored_result_bytes;
+  for (const admission_policy::class_settings& request_class : settings.policy_settings.classes)
+    memory.longest_deadline = std::max(memory.longest_deadline, request_class.deadline);
+  return memory;
 }
 
 // Reserves descriptors for the program itself and for the console; the remaining ones are for clients.
@@ -265,7 +279,8 @@
   read_limits(file, settings.bounds);
   divide_descriptors(settings);
   settings.policy_settings = settings_of(file);
-  settings.memory_idempotency = memory_idempotency_of(settings.policy_settings, settings.bounds);
+  settings.platform_windows = platform_windows_of(settings.policy_settings, settings.bounds);
+  settings.memory_idempotency = memory_idempotency_of(settings);
   return settings;
 }
 
@@ -282,14 +297,17 @@
 void enable_durable_idempotency(config& settings, keyed_config keyed) {
   for (std::size_t index = 0; index < keyed.windows.size(); ++index) {
     if (keyed.windows[index].count() == 0) continue;
+    keyed.windows[index] = std::max(keyed.windows[index], window_at(settings.platform_windows, index));
     admission_policy::class_settings& request_class = settings.policy_settings.classes[index];
     request_class.effect = admission_policy::request_effect::keyed;
     // The policy tracks a key until the deadline of its request; the stored results cover the rest of the
     // window.
     request_class.idempotency_window = request_class.deadline;
+    if (settings.memory_idempotency) settings.memory_idempotency->windows[index] = {};
   }
+  if (settings.memory_idempotency && !any_window(settings.memory_idempotency->windows))
+    settings.memory_idempotency.reset();
   settings.keyed = std::move(keyed);
-  settings.memory_idempotency.reset();
 }
 
 void enable_dependencies(config& settings, dependencies_config dependencies) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -43,16 +43,20 @@
   bool compute_fingerprint = false;  // compute a fingerprint of each request; set for fan-outs
 };
 
-// Section `keyed`: idempotency with results on disk, which survive restarts.
+// Section `keyed`: idempotency with results on disk, which survive restarts, for the classes that the
+// operator's file names.
 struct keyed_config {
   std::string folder;
-  std::string uwsgi_var;            // uwsgi var that holds the key; empty: uwsgi requests have no keys
-  std::string thrift_field;         // Thrift field that holds the key; empty: Thrift requests have no keys
-  std::size_t max_key_bytes = 255;  // maximum key size in bytes
+  std::string uwsgi_var;  // uwsgi var that holds the key; empty: uwsgi requests have no keys
+  // Thrift field that holds the key. Empty: the field of the platform's protocol in classes that its settings
+  // call keyed, and Thrift requests of other classes have no keys.
+  std::string thrift_field;
+  std::size_t max_key_bytes = 255;                          // maximum key size in bytes
   std::uint64_t max_folder_bytes = std::uint64_t{1} << 30;  // maximum size of the folder in bytes
   std::uint64_t segment_bytes = std::uint64_t{8} << 20;     // size of a segment file in bytes
   std::uint64_t max_keys = 1'000'000;                       // maximum number of stored keys
-  std::vector<std::chrono::nanoseconds> windows;            // idempotency windows by class; 0: not keyed
+  // Idempotency windows by class, at least those of the platform; 0: results are not on disk.
+  std::vector<std::chrono::nanoseconds> windows;
   // How long a run may continue after its deadline. Stopping the run would leave its outcome unknown.
   std::chrono::nanoseconds max_overrun = std::chrono::seconds(10);
   std::chrono::nanoseconds disk_retry_interval =
@@ -66,11 +70,10 @@
   std::chrono::nanoseconds scrub_interval{};  // interval between scrubs of the folder; 0: no scrubbing
 };
 
-// Idempotency in memory, for keyed classes of the platform's settings. Unused if there is a keyed_config.
+// Idempotency in memory, for the keyed classes of the platform's settings whose results are not on disk.
 struct memory_idempotency_config {
-  std::string thrift_field = "unique";            // holds the key; a request without this field has no key
   std::size_t max_key_bytes = 255;                // maximum key size in bytes
-  std::vector<std::chrono::nanoseconds> windows;  // by class, with limits::rule_slack; 0: not keyed
+  std::vector<std::chrono::nanoseconds> windows;  // by class; 0: results are not in memory
   std::chrono::nanoseconds longest_deadline{};    // longest deadline of all classes; no request starts later
   std::size_t max_bytes = 0;                      // maximum size of keys and results in bytes
 };
@@ -212,8 +215,11 @@
   limits bounds;
   admission_policy::settings policy_settings;
   std::optional<uwsgi_config> uwsgi;
+  // Idempotency windows by class as the platform's settings promise them, with limits::rule_slack; 0: the
+  // settings do not call the class keyed.
+  std::vector<std::chrono::nanoseconds> platform_windows;
   std::optional<keyed_config> keyed;
-  std::optional<memory_idempotency_config> memory_idempotency;  // absent if `keyed` is set
+  std::optional<memory_idempotency_config> memory_idempotency;  // absent if no class has results in memory
   std::optional<dependencies_config> dependencies;
   std::optional<transactions_config> transactions;  // needs `keyed` and `dependencies`
   std::optional<fleet_config> fleet;
@@ -227,8 +233,9 @@
 // Enables the uwsgi front and reserves a part of the connections for it.
 void enable_uwsgi(config& settings, uwsgi_config uwsgi);
 
-// Enables durable idempotency in place of idempotency in memory, and marks the keyed classes in the admission
-// policy's settings.
+// Enables durable idempotency for the classes with a window in `keyed`, in place of idempotency in memory,
+// and marks these classes as keyed in the admission policy's settings. A window that is shorter than that of
+// the platform is extended to it. All other classes are left as they are.
 void enable_durable_idempotency(config& settings, keyed_config keyed);
 
 // Enables fan-out. Throws invalid_config if uwsgi is disabled.
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -27,8 +27,11 @@
       coalescer_(requests_, admission_, settings_, counters, now),
       now_(now) {}
 
-void dispatcher::enable_idempotency(idempotency_store& store, duration finish_within) {
-  coalescer_.set_store(store, finish_within);
+void dispatcher::enable_idempotency(idempotency_store& store, duration finish_within,
+                                    std::span<const std::chrono::nanoseconds> windows) {
+  const std::size_t classes = std::min(windows.size(), settings_.classes.size());
+  for (std::size_t index = 0; index < classes; ++index)
+    if (windows[index].count() > 0) coalescer_.set_store(index, store, finish_within);
 }
 
 // Ignores the report while the node drains, and after the first arrival, because from then on the policy
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -5,6 +5,7 @@
 // Not synchronized: all functions are called on the thread that calls step().
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <span>
@@ -33,10 +34,13 @@
   // Adds a front that is to receive close_idle() calls. The front outlives this object.
   void add_front(front& idle_closing_front) { fronts_.push_back(&idle_closing_front); }
 
-  // Enables idempotency: from now on duplicates of keyed requests are coalesced and results are stored. A
+  // Enables idempotency for the classes whose window in `windows` (by class) is not 0: from now on duplicates
+  // of their keyed requests are coalesced and results are stored in `store`, which outlives this object. A
   // keyed run whose request was answered as failed continues for `finish_within` before a stop decision takes
-  // effect, because stopping the run would make its outcome unknown.
-  void enable_idempotency(idempotency_store& store, duration finish_within);
+  // effect, because stopping the run would make its outcome unknown. Other classes keep the store that they
+  // have.
+  void enable_idempotency(idempotency_store& store, duration finish_within,
+                          std::span<const std::chrono::nanoseconds> windows);
 
   // The server behind this node reports that it is up, since when, and whether its start was cold. Before
   // this report the dispatcher assumes a cold start.
--- a/src/core/duplicate_coalescer.cpp
+++ b/src/core/duplicate_coalescer.cpp
@@ -35,11 +35,16 @@
 duplicate_coalescer::duplicate_coalescer(request_table& requests, admission& policy,
                                          const admission_policy::settings& settings,
                                          telemetry::counters& counters, time_point now)
-    : requests_(requests), admission_(policy), settings_(settings), counters_(counters), now_(now) {}
+    : requests_(requests),
+      admission_(policy),
+      settings_(settings),
+      counters_(counters),
+      stores_(settings.classes.size()),
+      now_(now) {}
 
-void duplicate_coalescer::set_store(idempotency_store& store, duration finish_within) {
-  store_ = &store;
-  finish_within_ = finish_within;
+void duplicate_coalescer::set_store(std::size_t request_class, idempotency_store& store,
+                                    duration finish_within) {
+  stores_.at(request_class) = {&store, finish_within};
 }
 
 request_entry* duplicate_coalescer::find_primary(request_id id, group_stage stage) {
@@ -50,7 +55,7 @@
 // ---- Arrivals ---------------------------------------------------------------------------------------------
 
 void duplicate_coalescer::on_arrival(request_entry& arrival) {
-  const claim_result claim = store_->claim(arrival.id, arrival.details);
+  const claim_result claim = store_of(arrival).claim(arrival.id, arrival.details);
   switch (claim.status) {
     case claim_status::primary: add_primary(arrival, group_stage::queued); break;
     case claim_status::inquiry_primary:
@@ -112,7 +117,7 @@
   }
   primary.details.server = std::move(*server);
   group.stage = group_stage::writing_intent;
-  store_->write_intent(primary.id, primary.details);
+  store_of(primary).write_intent(primary.id, primary.details);
 }
 
 void duplicate_coalescer::on_server_unreachable(request_entry& primary) {
@@ -130,7 +135,7 @@
   }
   const bool no_client_waits = primary->answered && primary->group->duplicates.empty();
   if (no_client_waits) {
-    store_->release_key(primary_id);
+    store_of(*primary).release_key(primary_id);
     remove_primary(*primary, run_end::never_started);
     return;
   }
@@ -147,11 +152,11 @@
   switch (outcome::disposition_of(end)) {
     case key_disposition::record_result: record_result(primary, end == run_end::succeeded, result); break;
     case key_disposition::keep_unknown:
-      store_->mark_outcome_unknown(primary.id);
+      store_of(primary).mark_outcome_unknown(primary.id);
       close_group(primary, answer_outcome_unknown, end);
       break;
     case key_disposition::release:
-      store_->release_key(primary.id);
+      store_of(primary).release_key(primary.id);
       close_group(primary,
                   {.status = response_status::failed, .unknown_request = end == run_end::unknown_request},
                   run_end::never_started);
@@ -163,7 +168,7 @@
 // key is unknown.
 void duplicate_coalescer::on_backend_rejected(request_entry& primary, const answer& final_answer) {
   if (primary.group->stage != group_stage::running) return;
-  store_->release_key(primary.id);
+  store_of(primary).release_key(primary.id);
   close_group(primary, final_answer, run_end::never_started);
 }
 
@@ -178,7 +183,7 @@
     // Only `served` requires a recorded result, so clients need not wait until the failure is recorded.
     respond_to_all(primary, answer_run_failed, run_end::failed);
   }
-  if (!store_->record_result(primary.id, succeeded, result))
+  if (!store_of(primary).record_result(primary.id, succeeded, result))
     close_group(primary, answer_outcome_unknown, run_end::failed);
 }
 
@@ -195,15 +200,16 @@
 // `finish_within`, because pausing the run would make its outcome unknown.
 void duplicate_coalescer::pause_primary(request_entry& primary) {
   const coalesced_group& group = *primary.group;
-  if (group.stage != group_stage::running || now_ < group.respond_by + finish_within_) return;
+  const duration finish_within = stores_[primary.details.request_class].finish_within;
+  if (group.stage != group_stage::running || now_ < group.respond_by + finish_within) return;
   const bool may_never_end = settings_.halt == admission_policy::halt_mode::pause;
-  if (may_never_end) store_->mark_outcome_unknown(primary.id);
+  if (may_never_end) store_of(primary).mark_outcome_unknown(primary.id);
   primary.target_backend.pause(primary.id);
 }
 
 void duplicate_coalescer::reject_primary(request_entry& primary, const answer& final_answer) {
   primary.group->policy_awaits_end = false;
-  store_->release_key(primary.id);
+  store_of(primary).release_key(primary.id);
   close_group(primary, final_answer, run_end::never_started);
 }
 
@@ -215,7 +221,7 @@
       group.stage == group_stage::queued || group.stage == group_stage::inquiring;
   if (policy_closed_request) group.policy_awaits_end = false;
   if (group.stage == group_stage::queued) {
-    store_->release_key(primary.id);
+    store_of(primary).release_key(primary.id);
     close_group(primary, final_answer, run_end::never_started);
     return;
   }
@@ -228,7 +234,7 @@
 
 void duplicate_coalescer::share_result(request_entry& entry) {
   if (entry.role == request_role::stored_result_reader) {
-    store_->fetch_result(entry.id);
+    store_of(entry).fetch_result(entry.id);
   } else if (entry.group && entry.group->stage == group_stage::inquiring) {
     inquire(entry);
   }  // otherwise `entry` is a duplicate, which is answered with its group
@@ -260,7 +266,7 @@
   if (group.stage != group_stage::queued || !group.duplicates.empty()) return;
   admission_.report(cancelled{primary.id});
   group.policy_awaits_end = false;
-  store_->release_key(primary.id);
+  store_of(primary).release_key(primary.id);
   remove_primary(primary, run_end::never_started);
 }
 
@@ -295,7 +301,7 @@
   const request_id id = primary.id;
   recording_deadlines_.erase({primary.group->respond_by, id});
   if (primary.group->policy_awaits_end) admission_.report(completed{id, reported_end, {}});
-  store_->close_primary(id);
+  store_of(primary).close_primary(id);
   requests_.remove(id);
 }
 
@@ -304,7 +310,7 @@
 void duplicate_coalescer::inquire(request_entry& primary) {
   if (primary.target_backend.inquire(primary.id, primary.details)) return;
   // The backend does not support inquiries, and retries would not change that: use up all retries at once.
-  while (store_->schedule_inquiry_retry(primary.id).count() > 0) {
+  while (store_of(primary).schedule_inquiry_retry(primary.id).count() > 0) {
   }
   close_group(primary, answer_outcome_unknown, run_end::failed);
 }
@@ -315,12 +321,12 @@
   switch (outcome::disposition_of(end)) {
     case key_disposition::record_result: record_result(*primary, true, result); return;
     case key_disposition::release:
-      store_->release_key(primary_id);
+      store_of(*primary).release_key(primary_id);
       close_group(*primary, answer_retry_soon, run_end::never_started);
       return;
     case key_disposition::keep_unknown: break;
   }
-  const duration delay = store_->schedule_inquiry_retry(primary_id);
+  const duration delay = store_of(*primary).schedule_inquiry_retry(primary_id);
   if (delay.count() > 0) {
     inquiry_retries_.emplace(now_ + delay, primary_id);
   } else {
--- a/src/core/duplicate_coalescer.hpp
+++ b/src/core/duplicate_coalescer.hpp
@@ -27,12 +27,16 @@
   duplicate_coalescer(request_table& requests, admission& policy, const admission_policy::settings& settings,
                       telemetry::counters& counters, time_point now);
 
-  // `finish_within`: how long a run may continue after its deadline before a pause decision reaches its
-  // backend.
-  void set_store(idempotency_store& store, duration finish_within);
+  // Stores the keys and results of a class in `store`, which outlives this object. `finish_within`: how long
+  // a run of the class may continue after its deadline before a pause decision reaches its backend.
+  void set_store(std::size_t request_class, idempotency_store& store, duration finish_within);
 
   // Whether the dispatcher has to pass this request to on_arrival().
-  bool handles(const request& details) const { return store_ != nullptr && !details.key.empty(); }
+  bool handles(const request& details) const {
+    const bool keyed_class =
+        details.request_class < stores_.size() && stores_[details.request_class].store != nullptr;
+    return keyed_class && !details.key.empty();
+  }
 
   // ---- Events of requests ---------------------------------------------------------------------------------
   void on_arrival(request_entry& arrival);
@@ -70,11 +74,20 @@
  private:
   using timed_request = std::pair<time_point, request_id>;
 
+  // Where the keys and results of a class are stored.
+  struct class_store {
+    idempotency_store* store = nullptr;  // null: requests of the class have no keys
+    duration finish_within{};
+  };
+
   struct immediate_answer {
     request_id id{};
     answer final_answer;
   };
 
+  idempotency_store& store_of(const request_entry& entry) {
+    return *stores_[entry.details.request_class].store;
+  }
   void add_primary(request_entry& arrival, group_stage stage);
   void add_duplicate(request_entry& arrival, request_id primary_id);
   void respond_at_next_step(const request_entry& arrival, const answer& final_answer);
@@ -94,8 +107,7 @@
   admission& admission_;
   const admission_policy::settings& settings_;
   telemetry::counters& counters_;
-  idempotency_store* store_ = nullptr;
-  duration finish_within_{};
+  std::vector<class_store> stores_;                  // by class
   std::vector<immediate_answer> immediate_answers_;  // sent at the next step; the policy is not involved
   // Latest times of the answers to primaries whose result is being recorded.
   std::set<timed_request> recording_deadlines_;
--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -126,7 +126,7 @@
   std::vector<store::committer::done> completed;
   const store::committer::disk_status status = committer_->collect(completed);
   table_.set_disk({status.writable, status.free_bytes, status.next_expiry});
-  counters_.stored_bytes = status.used_bytes;
+  stored_bytes_.set(status.used_bytes);
   counters_.store_commits = status.commits;
   for (const store::committer::done& done : completed) {
     if (done.operation == store::committer::kind::write) {
--- a/src/idempotency/key_table_service.cpp
+++ b/src/idempotency/key_table_service.cpp
@@ -43,8 +43,8 @@
 }
 
 void key_table_service::publish_key_counts() {
-  counters_.stored_keys = table_.size();
-  counters_.keys_with_unknown_outcome = table_.outcomes_unknown();
+  stored_keys_.set(table_.size());
+  unknown_outcomes_.set(table_.outcomes_unknown());
 }
 
 }  // namespace marblewharf::idempotency
--- a/src/idempotency/key_table_service.hpp
+++ b/src/idempotency/key_table_service.hpp
@@ -10,6 +10,7 @@
 #include "core/idempotency_store.hpp"
 #include "idempotency/aging_clock.hpp"
 #include "idempotency/key_table.hpp"
+#include "telemetry/gauge_share.hpp"
 #include "telemetry/telemetry.hpp"
 
 namespace marblewharf::idempotency {
@@ -34,7 +35,12 @@
 
   // `longest_wait`: maximum time from the arrival of a request at the host until it is read.
   key_table_service(const key_table_options& options, telemetry::counters& counters, duration longest_wait)
-      : counters_(counters), table_(options), longest_wait_(longest_wait) {}
+      : counters_(counters),
+        table_(options),
+        stored_bytes_(counters.stored_bytes),
+        longest_wait_(longest_wait),
+        stored_keys_(counters.stored_keys),
+        unknown_outcomes_(counters.keys_with_unknown_outcome) {}
 
   // Claims the key in the table, counts the outcome, and remembers the key of a primary until it is closed.
   // The window of a key opens when the attempt that runs arrives at the host. A repeat that arrives there
@@ -62,10 +68,12 @@
 
   telemetry::counters& counters_;
   key_table table_;
+  telemetry::gauge_share stored_bytes_;
   aging_clock clock_;  // the steady clock, unless the derived class sets another
 
  private:
   const duration longest_wait_;
+  telemetry::gauge_share stored_keys_, unknown_outcomes_;
   idempotency_observer* observer_ = nullptr;
   std::unordered_map<request_id, claimed_key> primaries_;
   time_point next_expiry_{};
--- a/src/idempotency/memory_service.cpp
+++ b/src/idempotency/memory_service.cpp
@@ -134,7 +134,9 @@
   if (expiry_is_due(now_)) remove_expired();
   publish_free_memory();
   publish_key_counts();
-  counters_.stored_bytes = bytes_;
+  stored_bytes_.set(bytes_);
+  counters_.memory_keys = table_.size();
+  counters_.memory_bytes = bytes_;
   if (shared_) counters_.peer_keys = shared_->peer_run_count();
 }
 
--- a/src/middleware/gate.cpp
+++ b/src/middleware/gate.cpp
@@ -99,7 +99,7 @@
   store_ = std::make_unique<idempotency::durable_service>(*files_, store_options_of(*keys_, settings),
                                                           counters_, notify);
   store_->set_observer(dispatcher_);
-  dispatcher_.enable_idempotency(*store_, {});
+  dispatcher_.enable_idempotency(*store_, {}, keys_->windows);
 }
 
 const keyed_settings* gate_impl::keys_of(unsigned request_class) const {
--- a/src/server/durable_idempotency.cpp
+++ b/src/server/durable_idempotency.cpp
@@ -60,7 +60,7 @@
       counters_(counters),
       notify_(std::move(notify)),
       deferred_service_(settings.keyed->disk_retry_interval, counters) {
-  dispatcher_.enable_idempotency(deferred_service_, settings.keyed->max_overrun);
+  dispatcher_.enable_idempotency(deferred_service_, settings.keyed->max_overrun, settings.keyed->windows);
   try {
     open();
   } catch (const store::folder_locked& error) {  // the predecessor in a hot restart has locked the folder
--- a/src/server/memory_idempotency.cpp
+++ b/src/server/memory_idempotency.cpp
@@ -28,6 +28,7 @@
   options.longest_wait = repeats.longest_deadline;
   options.memory = bytes_per_part(settings);
   options.largest_result = settings.bounds.max_result_bytes;
+  if (settings.uwsgi) options.largest_result += settings.bounds.max_response_head_bytes;
   options.max_open_keys = settings.bounds.max_open_keyed_requests;
   options.salt = random_seed();
   for (const auto& request_class : settings.policy_settings.classes)
@@ -59,7 +60,7 @@
       deferred_service_(rejected_retry_after, counters) {
   // A run past its deadline is stopped at once: its cores are needed for requests that can still be in time.
   constexpr duration finish_within{};
-  dispatcher_.enable_idempotency(deferred_service_, finish_within);
+  dispatcher_.enable_idempotency(deferred_service_, finish_within, config_.memory_idempotency->windows);
   try_join(net::steady_now());
 }
 
--- a/src/server/price_node.cpp
+++ b/src/server/price_node.cpp
@@ -7,6 +7,7 @@
 #include "server/random_seed.hpp"
 #include "server/reload.hpp"
 #include "server/signals.hpp"
+#include "server/storage_log.hpp"
 
 namespace marblewharf::server {
 namespace {
@@ -74,6 +75,7 @@
   hot_restart_file_.emplace(settings);
   const std::string node_listens = settings.name + " listens";
   log_listening(node_listens.c_str(), settings.listen);
+  log_result_storage(settings);
   cores_busy_gauge_ = find_cores_busy_gauge(settings);
 }
 
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -100,11 +100,11 @@
       "repeats_answered=%" PRIu64 " repeats_joined=%" PRIu64 " repeats_in_doubt=%" PRIu64
       " key_conflicts=%" PRIu64 " no_room=%" PRIu64 " results_known=%" PRIu64 " results_in_doubt=%" PRIu64
       " results_bytes=%" PRIu64 " results_commits=%" PRIu64 " results_of_peers=%" PRIu64
-      " inquiries_without_server=%" PRIu64,
+      " inquiries_without_server=%" PRIu64 " keys_in_memory=%" PRIu64 " bytes_in_memory=%" PRIu64,
       totals.answered_duplicates, totals.coalesced_duplicates, totals.duplicates_of_unknown_outcome,
       totals.key_conflicts, totals.rejected_for_key_capacity, totals.stored_keys,
       totals.keys_with_unknown_outcome, totals.stored_bytes, totals.store_commits, totals.peer_keys,
-      totals.inquiries_without_server);
+      totals.inquiries_without_server, totals.memory_keys, totals.memory_bytes);
 }
 
 }  // namespace marblewharf::telemetry
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -45,9 +45,10 @@
   std::uint64_t inquiries_without_server = 0;
   std::uint64_t rejected_for_key_capacity = 0;  // requests rejected because their key could not be recorded
   std::uint64_t background_faults = 0;          // damaged data found by scrubbing, and jobs that failed
-  // Current state of the idempotency store: keys in the table, keys whose outcome is unknown, bytes that
-  // results occupy, and commits to disk since the start.
+  // Current state of the idempotency stores, on disk and in memory together: keys in the tables, keys whose
+  // outcome is unknown, bytes that results occupy; and commits to disk since the start.
   std::uint64_t stored_keys = 0, keys_with_unknown_outcome = 0, stored_bytes = 0, store_commits = 0;
+  std::uint64_t memory_keys = 0, memory_bytes = 0;  // the part of them in memory
   std::uint64_t peer_keys = 0;  // currently known keys that other processes of this node have run
   // Answers by request class, in the order of the settings. The dispatcher sets the size.
   std::vector<std::uint64_t> served_by_class, rejected_by_class, failed_by_class;
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -216,7 +216,7 @@
       counters_(counters),
       connections_(reactor),
       names_(settings.policy_settings),
-      keys_(key_rules_of(settings)),
+      keys_(thrift_key_rules(settings)),
       listener_(reactor, settings.bounds, settings.listen.host, settings.listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }),
       sweeps_(settings.bounds.sweep_interval) {
--- a/src/thrift/front.hpp
+++ b/src/thrift/front.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "config/config.hpp"
+#include "config/key_rules.hpp"
 #include "core/dispatcher.hpp"
 #include "core/request_name_index.hpp"
 #include "fronts/sweep_schedule.hpp"
@@ -72,7 +73,7 @@
   net::connections<connection> connections_;
   std::unordered_map<request_id, open_request> open_requests_;
   request_name_index names_;
-  key_rules keys_;
+  const key_rules keys_;
   net::listener listener_;
   std::function<bool()> health_check_;  // empty: the dispatcher's health
   duration policy_idle_time_{};         // idle time-out requested by the admission policy; 0: none
--- a/src/thrift/request.cpp
+++ b/src/thrift/request.cpp
@@ -51,27 +51,16 @@
   return *value;
 }
 
-void read_key(const execute& message, const key_rules& keys, request& decoded) {
-  if (!keys.required && !message.fields.contains(keys.field)) return;
-  decoded.key = field(message.fields, keys.field.c_str());
-  if (idempotency::key_error(decoded.key, keys.max_key_size) != nullptr) throw bad_field(keys.field);
+void read_key(const execute& message, const key_rule& rule, request& decoded) {
+  if (!rule.required && !message.fields.contains(rule.source)) return;
+  decoded.key = field(message.fields, rule.source.c_str());
+  if (idempotency::key_error(decoded.key, rule.max_bytes) != nullptr) throw bad_field(rule.source);
   const std::array<std::string_view, 2> content = {"thrift", message.body};
   decoded.fingerprint = idempotency::fingerprint_of(content);
 }
 
 }  // namespace
 
-key_rules key_rules_of(const config& settings) {
-  if (const auto& keyed = settings.keyed)
-    return {.field = keyed->thrift_field,
-            .max_key_size = keyed->max_key_bytes,
-            .windows = keyed->windows,
-            .required = true};
-  if (const auto& keyed = settings.memory_idempotency)
-    return {.field = keyed->thrift_field, .max_key_size = keyed->max_key_bytes, .windows = keyed->windows};
-  return {};
-}
-
 request to_request(const execute& message, request_name_index& names, std::int64_t now_ms,
                    const key_rules& keys) {
   const field_map& fields = message.fields;
@@ -94,8 +83,7 @@
   decoded.request_class = require(names.class_of(field(fields, "verb")), "verb");
   decoded.tenant = require(names.tenant_of(field(fields, "team")), "team");
   decoded.payload = message.body;
-  if (!keys.field.empty() && keys.windows[decoded.request_class].count() > 0)
-    read_key(message, keys, decoded);
+  if (const key_rule* rule = keys.find(decoded.request_class)) read_key(message, *rule, decoded);
   return decoded;
 }
 
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -119,6 +119,7 @@
       counters_(counters),
       connections_(reactor),
       names_(settings.policy_settings),
+      keys_(uwsgi_key_rules(settings)),
       listener_(reactor, settings.bounds, settings.uwsgi->listen.host, settings.uwsgi->listen.port,
                 [this](const Poco::Net::StreamSocket& socket) { accept(socket); }),
       sweeps_(settings.bounds.sweep_interval) {
@@ -146,8 +147,7 @@
 }
 
 request_id server::begin_request(const packet& received) {
-  const keyed_config* keyed = config_.keyed ? &*config_.keyed : nullptr;
-  return dispatcher_.on_arrival(*this, backend_, to_request(received, *config_.uwsgi, names_, keyed));
+  return dispatcher_.on_arrival(*this, backend_, to_request(received, *config_.uwsgi, names_, keys_));
 }
 
 void server::respond(request_id id, const answer& final_answer) {
--- a/src/uwsgi/front.hpp
+++ b/src/uwsgi/front.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "config/config.hpp"
+#include "config/key_rules.hpp"
 #include "core/dispatcher.hpp"
 #include "core/request_name_index.hpp"
 #include "fronts/sweep_schedule.hpp"
@@ -58,6 +59,7 @@
   net::connections<connection> connections_;
   std::unordered_map<request_id, connection*> open_requests_;
   request_name_index names_;
+  const key_rules keys_;
   net::listener listener_;
   fronts::sweep_schedule sweeps_;
 };
--- a/src/uwsgi/request.cpp
+++ b/src/uwsgi/request.cpp
@@ -35,11 +35,12 @@
   return idempotency::fingerprint_of(content);
 }
 
-void read_key(const packet& received, const keyed_config& keys, request& decoded) {
-  if (keys.windows[decoded.request_class].count() == 0) return;
-  const std::string_view key = received.find(keys.uwsgi_var).value_or(std::string_view());
-  if (const char* fault = idempotency::key_error(key, keys.max_key_bytes))
-    throw bad_packet(bad_request, std::string(fault) + " in " + keys.uwsgi_var);
+// A server passes the absence of a header as an empty var.
+void read_key(const packet& received, const key_rule& rule, request& decoded) {
+  const std::string_view key = received.find(rule.source).value_or(std::string_view());
+  if (key.empty() && !rule.required) return;
+  if (const char* fault = idempotency::key_error(key, rule.max_bytes))
+    throw bad_packet(bad_request, std::string(fault) + " in " + rule.source);
   decoded.key = key;
   decoded.fingerprint = content_fingerprint(received);
 }
@@ -47,7 +48,7 @@
 }  // namespace
 
 request to_request(const packet& received, const uwsgi_config& mapping, request_name_index& names,
-                   const keyed_config* keys) {
+                   const key_rules& keys) {
   request decoded;
   decoded.request_class =
       require(names.class_of(mapped_value(received, mapping.request_class)), mapping.request_class);
@@ -64,7 +65,7 @@
   decoded.reserved_kb = mapping.reserved_kb;
   decoded.payload = received.bytes;
   if (mapping.compute_fingerprint) decoded.fingerprint = content_fingerprint(received);
-  if (keys != nullptr) read_key(received, *keys, decoded);
+  if (const key_rule* rule = keys.find(decoded.request_class)) read_key(received, *rule, decoded);
   return decoded;
 }
 
--- a/src/uwsgi/request.hpp
+++ b/src/uwsgi/request.hpp
@@ -2,14 +2,15 @@
 #pragma once
 
 #include "config/config.hpp"
+#include "config/key_rules.hpp"
 #include "core/request.hpp"
 #include "core/request_name_index.hpp"
 #include "uwsgi/packet.hpp"
 
 namespace marblewharf::uwsgi {
 
-// `keys`: settings of keyed requests; null if their results are not kept. Throws bad_packet.
+// Throws bad_packet.
 request to_request(const packet& received, const uwsgi_config& mapping, request_name_index& names,
-                   const keyed_config* keys = nullptr);
+                   const key_rules& keys = {});
 
 }  // namespace marblewharf::uwsgi
--- a/tests/idempotency/durable_service_test.cpp
+++ b/tests/idempotency/durable_service_test.cpp
@@ -95,7 +95,7 @@
     o.steady_now = steady();
     service = std::make_unique<idempotency::durable_service>(disk, o, counters, [] {});
     service->set_observer(dispatch);
-    dispatch.enable_idempotency(*service, 10s);
+    dispatch.enable_idempotency(*service, 10s, o.windows);
   }
   request_id submit(const std::string& key) {
     request arriving;
--- a/tests/net/dispatcher_test.cpp
+++ b/tests/net/dispatcher_test.cpp
@@ -47,8 +47,9 @@
   void pause(request_id id) override { paused.insert(id); }
   void resume(request_id) override {}
 
-  request_id arrive(unsigned request_class = 0) {
+  request_id arrive(unsigned request_class = 0, const std::string& key = {}) {
     request details;
+    details.key = key;
     details.request_class = request_class;
     details.reserved_kb = 10;
     details.caller = ++last_caller;
@@ -69,6 +70,30 @@
   dispatcher dispatcher_under_test;
 };
 
+// A store that grants every key and writes its intents at once.
+struct granting_store : idempotency_store {
+  explicit granting_store(dispatcher& owner) : observer(owner) {}
+  claim_result claim(request_id id, const request&) override {
+    claimed.insert(id);
+    return {.status = claim_status::primary, .primary = id};
+  }
+  void write_intent(request_id primary, const request&) override {
+    observer.on_intent_written(primary, true);
+  }
+  bool record_result(request_id primary, bool, std::string_view) override {
+    observer.on_result_recorded(primary);
+    return true;
+  }
+  void mark_outcome_unknown(request_id) override {}
+  void release_key(request_id primary) override { released.insert(primary); }
+  duration schedule_inquiry_retry(request_id) override { return {}; }
+  void close_primary(request_id primary) override { closed.insert(primary); }
+  void fetch_result(request_id) override {}
+
+  dispatcher& observer;
+  std::set<request_id> claimed, released, closed;
+};
+
 admission_policy::settings test_settings(unsigned cores = 2) {
   admission_policy::settings settings;
   settings.cores = cores;
@@ -166,6 +191,31 @@
   CHECK(serve(4000) < blocks_after_warm_up + 500);
 }
 
+// Guards against a class whose keys go to the store of another class (review/6): each class has its own
+// store, and its own time for a run to end after its deadline. A class without a store has no keys.
+void each_class_has_its_own_store() {
+  admission_policy::settings settings = test_settings();
+  settings.classes.push_back(settings.classes[1]);
+  fixture test(settings);
+  granting_store disk(test.dispatcher_under_test), memory(test.dispatcher_under_test);
+  const std::vector<std::chrono::nanoseconds> disk_windows = {0s, 1h, 0s}, memory_windows = {0s, 0s, 5s};
+  test.dispatcher_under_test.enable_idempotency(disk, 10s, disk_windows);
+  test.dispatcher_under_test.enable_idempotency(memory, 0s, memory_windows);
+  const request_id unkeyed = test.arrive(0, "a"), on_disk = test.arrive(1, "a"),
+                   in_memory = test.arrive(2, "a");
+  CHECK(disk.claimed == std::set{on_disk} && memory.claimed == std::set{in_memory});
+  test.advance(10ms);
+  CHECK(test.runs.contains(unkeyed));
+  test.dispatcher_under_test.on_run_ended(unkeyed, run_end::succeeded, "x", 5ms);
+  test.advance(4s);
+  CHECK(test.runs.contains(on_disk) && test.runs.contains(in_memory));
+  CHECK(test.paused == std::set{in_memory});
+  for (const request_id id : {on_disk, in_memory})
+    test.dispatcher_under_test.on_run_ended(id, run_end::succeeded, "x", 4s);
+  CHECK(disk.closed == std::set{on_disk} && memory.closed == std::set{in_memory});
+  CHECK(test.dispatcher_under_test.open_requests() == 0);
+}
+
 // After a shutdown notice every request is answered before the process is killed, and requests that arrive
 // after the grace period are rejected without a run.
 void requests_are_answered_after_a_shutdown_notice() {
@@ -192,6 +242,7 @@
       {"retry_after", requests_past_the_latency_objective_fail_with_retry_after},
       {"cancelled", cancelled_requests_get_no_answer},
       {"shutdown_notice", requests_are_answered_after_a_shutdown_notice},
+      {"stores_by_class", each_class_has_its_own_store},
       {"bounded_memory", ended_requests_leave_no_memory}};
   tests.at(argv[1])();
   return 0;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -300,6 +300,7 @@
   int aim_ms = 20000;        // latency objective of safe requests; above any delay of a slow machine
   int write_aim_ms = 20000;  // latency objective of unsafe requests
   int quota = 100, other_quota = 100;  // requests per second of isar-invest and lech-vermoegen
+  bool tenants = true;                 // false: the settings list no tenants
   std::string operators{};             // text of the operator's file; empty: none
   std::string record{};                // path of a capture file to write; empty: none
   std::string edit_from{}, edit_to{};  // replaces the first occurrence in the text of the configuration
@@ -488,6 +489,10 @@
     const auto tenant = [](const char* name, int quota) {
       return std::string("{\"Name\":\"") + name + "\",\"QuotaPerS\":" + std::to_string(quota) + ".0}";
     };
+    const std::string tenants = !options.tenants
+                                    ? ""
+                                    : "\"Tenants\":[" + tenant("isar-invest", options.quota) + "," +
+                                          tenant("lech-vermoegen", options.other_quota) + "],";
     const std::string console =
         options.console_port == 0 ? "" : "\"console\":" + host + std::to_string(options.console_port) + "\",";
     return "{\"name\":\"n0\"," + console + "\"listen\":" + host + std::to_string(port) +
@@ -503,10 +508,8 @@
            std::to_string(options.cores) +
            ",\"RamKb\":200000.0,\"RunFactor\":8.0},\"GroupSize\":1,"
            "\"Safety\":{\"AnswerSlack\":80000000,\"DrainGrace\":2500000000,\"Fall\":1500000000,"
-           "\"OverloadFactor\":5.0,\"StartCapacity\":0.21,\"Cold\":18000000000},"
-           "\"Tenants\":[" +
-           tenant("isar-invest", options.quota) + "," + tenant("lech-vermoegen", options.other_quota) +
-           "],\"Tick\":2000000}}";
+           "\"OverloadFactor\":5.0,\"StartCapacity\":0.21,\"Cold\":18000000000}," +
+           tenants + "\"Tick\":2000000}}";
   }
 
   std::string dir_;
@@ -544,6 +547,17 @@
   std::snprintf(hex, sizeof hex, "%016x", static_cast<unsigned>(number));
   return hex;
 }
+// The fields with the value of the field `name` replaced.
+inline fields with_field(fields original, const std::string& name, const std::string& new_value) {
+  for (auto& [field_name, value] : original)
+    if (field_name == name) value = new_value;
+  return original;
+}
+// The fields without the field `name`.
+inline fields without_field(fields original, const std::string& name) {
+  std::erase_if(original, [&name](const auto& field) { return field.first == name; });
+  return original;
+}
 // Valid header fields of request `number`. `ahead_ms`: how far the arrival time is in the future; negative:
 // in the past.
 inline fields usual(int number, const std::string& verb = "kurs-abfrage", int ahead_ms = 0) {
--- a/tests/net/keyed_writes.hpp
+++ b/tests/net/keyed_writes.hpp
@@ -13,10 +13,17 @@
           .edit_to = "\"Effect\":\"keyed\",\"Window\":" + std::to_string(window_ms) + "000000"};
 }
 
+// Options of a node whose read class is keyed, with that duplicate window.
+inline node_options keyed_reads(int window_ms) {
+  return {.edit_from = "\"Effect\":\"safe\"",
+          .edit_to = "\"Effect\":\"keyed\",\"Window\":" + std::to_string(window_ms) + "000000"};
+}
+
 // An attempt of the write with the idempotency key `key`, which arrived `ms_ago` before now.
-inline std::string keyed_attempt(int seqid, const std::string& key, int ms_ago = 0) {
+inline std::string keyed_attempt(int seqid, const std::string& key, int ms_ago = 0,
+                                 const std::string& request_class = "kurs-meldung") {
   static int attempts = 0;
-  fields f = usual(++attempts, "kurs-meldung", -ms_ago);
+  fields f = usual(++attempts, request_class, -ms_ago);
   f.emplace_back("unique", key);
   return execute(seqid, f, "price");
 }
--- a/tests/net/replacement_test.cpp
+++ b/tests/net/replacement_test.cpp
@@ -23,10 +23,13 @@
 struct node_process {
   void start(const shared_folder& folder, int listen_port, int write_aim_ms = 20000) {
     node_options options = keyed_writes(window_ms);
+    options.write_aim_ms = write_aim_ms;
+    start(folder, listen_port, options);
+  }
+  void start(const shared_folder& folder, int listen_port, node_options options) {
     options.tmpdir = folder.path;
     options.listen_port = listen_port;
     options.console_port = console_port;
-    options.write_aim_ms = write_aim_ms;
     process = std::make_unique<node>(at, options);
     at.up();
     wait_ready(console_port);
@@ -266,6 +269,40 @@
   run_write(n.second, after, "b", "Yg==");
 }
 
+// Guards against a node with results on disk that hands the keys of its other classes to nobody.
+void keys_in_memory_are_handed_over_beside_keys_on_disk() {
+  const shared_folder folder;
+  const int port = free_port();
+  node_options options = keyed_reads(window_ms);  // the operator's file stores results of kurs-meldung
+  options.operators = folder.keyed_operators();
+  const auto read = [](int seqid) { return keyed_attempt(seqid, "a", 0, "kurs-abfrage"); };
+  const auto write = [](int seqid) {
+    fields f = usual(300000 + seqid, "kurs-meldung");
+    f.emplace_back("key", "a");
+    return execute(seqid, f, "price");
+  };
+  node_process first, second;
+  first.start(folder, port, options);
+  connection before = connection::to(port);
+  for (const std::string& attempt : {read(1), write(2)}) {
+    before.send(attempt);
+    first.at.end(first.at.expect("start"), "fine", "YQ==");
+    expect_served(before, "a");
+  }
+  second.start(folder, port, options);
+  second.process->logged("joined the log of shared keys: 1 keys of other processes");
+  first.leave();
+  close_when_asked(before);
+  connection after = connection::to(port);
+  after.send(read(1));
+  expect_served(after, "a");
+  CHECK(first.process->wait() == 0);
+  second.process->logged("opened after its release: 1 keys recovered");
+  after.send(write(2));
+  expect_served(after, "a");
+  expect_no_start(second.at);
+}
+
 // Guards against harm by files that are not the node's: keyed writes run, and are still handed over where the
 // folder can be used.
 void foreign_files_do_no_harm() {
@@ -315,6 +352,7 @@
       {"suspended", suspended_predecessor_blocks_only_its_own_keys},
       {"reverse", predecessor_serves_the_result_of_its_successor},
       {"twice", key_outlasts_two_replacements},
+      {"beside_disk", keys_in_memory_are_handed_over_beside_keys_on_disk},
       {"foreign_files", foreign_files_do_no_harm},
       {"locked_log", locked_log_refuses_keyed_writes},
       {"no_folder", file_in_place_of_the_folder_leaves_the_node_alone},
--- a/tests/net/settings_test.cpp
+++ b/tests/net/settings_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 
+#include "config/key_rules.hpp"
 #include "config/operator_file.hpp"
 #include "config/operator_file_error.hpp"
 #include "config/units.hpp"
@@ -86,6 +87,45 @@
   CHECK(with_fleet.fleet->zones.size() == 1 && with_fleet.fleet->zones[0].members.size() == 2);
 }
 
+// Guards against an operator's file that takes away what the platform's settings promise (review/6): a class
+// that it does not name stays in memory, a window is at least that of the platform, and the Thrift front
+// reads the key of the platform's protocol.
+void operator_file_takes_nothing_away() {
+  config settings = platform();
+  settings.policy_settings.classes.push_back({.name = "kurs-liste", .latency_objective = 1s, .deadline = 3s});
+  settings.platform_windows = {0s, 48h, 5s};
+  settings.memory_idempotency.emplace().windows = settings.platform_windows;
+  keyed_config on_disk;
+  on_disk.uwsgi_var = "K";
+  on_disk.windows = {24h, 24h, 0s};
+  enable_durable_idempotency(settings, on_disk);
+  CHECK(result_storage_of(settings, 0) == result_storage::disk);
+  CHECK(result_storage_of(settings, 1) == result_storage::disk);
+  CHECK(result_storage_of(settings, 2) == result_storage::memory);
+  CHECK((settings.keyed->windows == std::vector<std::chrono::nanoseconds>{24h, 48h, 0s}));
+  CHECK((settings.memory_idempotency->windows == std::vector<std::chrono::nanoseconds>{0s, 0s, 5s}));
+  const key_rules thrift = thrift_key_rules(settings), uwsgi = uwsgi_key_rules(settings);
+  CHECK(thrift.find(0) == nullptr);
+  for (const std::size_t promised : {std::size_t{1}, std::size_t{2}})
+    CHECK(thrift.find(promised)->source == "unique" && !thrift.find(promised)->required);
+  CHECK(uwsgi.find(0)->source == "K" && uwsgi.find(0)->required && uwsgi.find(1)->required);
+  CHECK(uwsgi.find(2)->source == "K" && !uwsgi.find(2)->required);
+}
+
+// No class is left in memory if the file has all of them on disk.
+void all_classes_on_disk() {
+  config settings = platform();
+  settings.platform_windows = {0s, 5s};
+  settings.memory_idempotency.emplace().windows = settings.platform_windows;
+  keyed_config on_disk;
+  on_disk.thrift_field = "key";
+  on_disk.windows = {0s, 24h};
+  enable_durable_idempotency(settings, on_disk);
+  CHECK(!settings.memory_idempotency && result_storage_of(settings, 0) == result_storage::none);
+  const key_rules thrift = thrift_key_rules(settings);
+  CHECK(thrift.find(0) == nullptr && thrift.find(1)->source == "key" && thrift.find(1)->required);
+}
+
 void errors_name_file_line_and_key() {
   const std::map<std::string, std::string> faults = {
       {"uwsgi {\n\n  listen = nowhere\n}\n",
@@ -211,11 +251,11 @@
 }  // namespace
 
 int main(int, char** argv) {
-  const std::map<std::string, void (*)()> tests = {{"reads_sections", reads_all_sections},
-                                                   {"error_texts", errors_name_file_line_and_key},
-                                                   {"error_fields", errors_have_typed_fields},
-                                                   {"units", parses_units},
-                                                   {"examples", accepts_example_files}};
+  const std::map<std::string, void (*)()> tests = {
+      {"reads_sections", reads_all_sections},     {"takes_nothing_away", operator_file_takes_nothing_away},
+      {"all_on_disk", all_classes_on_disk},       {"error_texts", errors_name_file_line_and_key},
+      {"error_fields", errors_have_typed_fields}, {"units", parses_units},
+      {"examples", accepts_example_files}};
   tests.at(argv[1])();
   ::unlink((test_folder() + "/node.conf").c_str());
   ::rmdir(test_folder().c_str());
