Answer keyed requests and gathered reads at a site without tenants

Gathered reads were answered 504 at their deadline.

Cause: settings without tenants have a single tenant without a name, whose index is 0; memory_service::key_of() and fan_out::client::begin_fan_out() looked index 0 up in the empty list and threw out of the read handler. The store on disk and the coordinator of writes had the check, each in its own words.

Change: core/tenant_name is the one place where an index becomes a name. At such a site the fronts do not ask for a tenant: the field team, the uwsgi var and tenant_var may be absent.

--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -33,7 +33,8 @@
   const sections::parsed_file file(path, all_schemas());
   sections::class_mappings mappings = sections::read_class_mappings(file, settings.policy_settings);
   sections::read_fleet(file, settings);
-  if (file.has("uwsgi")) enable_uwsgi(settings, sections::read_uwsgi(file, std::move(mappings.uwsgi)));
+  if (file.has("uwsgi"))
+    enable_uwsgi(settings, sections::read_uwsgi(file, settings.policy_settings, std::move(mappings.uwsgi)));
   if (file.has("dependency")) enable_dependencies(settings, sections::read_dependencies(file, settings));
   sections::read_keyed(file, settings, std::move(mappings.windows));
   sections::read_writes(file, settings);
--- a/src/config/sections/uwsgi.cpp
+++ b/src/config/sections/uwsgi.cpp
@@ -25,14 +25,16 @@
   return {.name = "uwsgi", .options = options};
 }
 
-uwsgi_config read_uwsgi(const parsed_file& file, uwsgi_config mappings) {
+uwsgi_config read_uwsgi(const parsed_file& file, const admission_policy::settings& policy_settings,
+                        uwsgi_config mappings) {
   const section uwsgi = file.get_section("uwsgi");
   uwsgi_config settings = std::move(mappings);
   settings.listen = uwsgi.address("listen", uwsgi.required_text("listen"));
   settings.servers = uwsgi.addresses("servers");
   if (settings.servers.empty()) uwsgi.fail("servers", "lists no server");
   settings.request_class.var = uwsgi.required_text("class_var");
-  settings.tenant.var = uwsgi.required_text("tenant_var");
+  settings.tenant.var =
+      policy_settings.tenants.empty() ? uwsgi.text("tenant_var") : uwsgi.required_text("tenant_var");
   settings.cost.var = uwsgi.text("cost_var");
   const std::uint64_t reserved_bytes = uwsgi.bytes("held", min_reserved_bytes, max_reserved_bytes);
   settings.reserved_kb = static_cast<double>(reserved_bytes) / static_cast<double>(bytes_per_kb);
--- a/src/config/sections/uwsgi.hpp
+++ b/src/config/sections/uwsgi.hpp
@@ -9,7 +9,8 @@
 schema uwsgi_schema();
 
 // Adds the section's settings to `mappings`, which has the var values of classes and tenants. The file must
-// have the section.
-uwsgi_config read_uwsgi(const parsed_file& file, uwsgi_config mappings);
+// have the section. `tenant_var` may be left out if the platform's settings list no tenants.
+uwsgi_config read_uwsgi(const parsed_file& file, const admission_policy::settings& policy_settings,
+                        uwsgi_config mappings);
 
 }  // namespace marblewharf::sections
--- a/src/core/request_name_index.hpp
+++ b/src/core/request_name_index.hpp
@@ -23,11 +23,12 @@
 
   // Returns the index of a name, or none if the name is unknown and cannot be added.
   std::optional<unsigned> class_of(std::string_view name) { return find(classes, name); }
-  // Settings that list no tenants have a single tenant, whose index every name gets.
+  // Settings that list no tenants have a single tenant without a name, whose index every name gets.
   std::optional<unsigned> tenant_of(std::string_view name) {
-    const bool single_tenant = !adds_names_ && tenants.empty();
-    return single_tenant ? 0 : find(tenants, name);
+    return has_unnamed_tenant() ? 0 : find(tenants, name);
   }
+  // Whether the settings list no tenants, so that requests need not name one.
+  bool has_unnamed_tenant() const { return !adds_names_ && tenants.empty(); }
 
   std::vector<std::string> classes;
   std::vector<std::string> tenants;
--- a/src/fan_out/client.cpp
+++ b/src/fan_out/client.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <utility>
 
+#include "core/tenant_name.hpp"
 #include "fan_out/response_assembly.hpp"
 #include "upstream/response_deadline.hpp"
 #include "uwsgi/packet.hpp"
@@ -110,7 +111,7 @@
   const time_point now = net::steady_now();
   run.fan_out_begun = true;
   run.fan_out_begun_at = now;
-  const std::string& tenant = config_.policy_settings.tenants.at(run.client_request.tenant).name;
+  const std::string_view tenant = tenant_name(config_.policy_settings, run.client_request.tenant);
   state_machine_.begin(id, run.plan, {tenant, run.client_request.fingerprint}, deadline, now);
   apply_actions();
 }
--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/tenant_name.hpp"
+
 namespace marblewharf::idempotency {
 
 using telemetry::log;
@@ -151,14 +153,10 @@
 
 // ---- Requests ---------------------------------------------------------------------------------------------
 
-std::string_view durable_service::tenant_name(unsigned tenant) const {
-  return tenant < options_.tenants.size() ? std::string_view(options_.tenants[tenant]) : std::string_view();
-}
-
 claim_result durable_service::claim(request_id id, const request& claimant) {
   const std::chrono::nanoseconds window = options_.windows.at(claimant.request_class);
-  const key_id key = key_id_of(tenant_name(claimant.tenant), options_.classes.at(claimant.request_class),
-                               claimant.key, salt_);
+  const key_id key = key_id_of(tenant_name(options_.tenants, claimant.tenant),
+                               options_.classes.at(claimant.request_class), claimant.key, salt_);
   const key_claim claim = claim_key(id, key, claimant.fingerprint, window, claimant);
   if (claim.status == claim_status::completed) readers_[id] = {key, claim.result_at};
   claim_result result = to_result(claim);
@@ -193,7 +191,7 @@
   const claimed_key& claimed = primary_key(primary);
   table_.begin_intent(claimed.key, servers_.index_of(claimant.server));
   key_record record = record_of(record_type::intent, claimed);
-  record.tenant = tenant_name(claimant.tenant);
+  record.tenant = tenant_name(options_.tenants, claimant.tenant);
   record.request_class = options_.classes.at(claimant.request_class);
   record.client_key = claimant.key;
   record.server = claimant.server;
--- a/src/idempotency/durable_service.hpp
+++ b/src/idempotency/durable_service.hpp
@@ -85,7 +85,6 @@
   aging_time now() const { return clock_.at(now_); }
   // Until when a record of a key with this expiry is kept on disk.
   aging_time kept_until(aging_time expiry) const { return expiry + longest_wait().count(); }
-  std::string_view tenant_name(unsigned tenant) const;
   key_record record_of(record_type type, const claimed_key& claimed) const;
   void write(request_id primary, const claimed_key& claimed, const key_record& record);
   void submit(pending_write write);
--- a/src/idempotency/memory_service.cpp
+++ b/src/idempotency/memory_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/tenant_name.hpp"
 #include "idempotency/records.hpp"
 
 namespace marblewharf::idempotency {
@@ -47,8 +48,8 @@
 
 key_id memory_service::key_of(const request& claimant) const {
   const std::string client_key = claimant.key + std::to_string(claimant.fingerprint);
-  return key_id_of(options_.tenants.at(claimant.tenant), options_.classes.at(claimant.request_class),
-                   client_key, options_.salt);
+  return key_id_of(tenant_name(options_.tenants, claimant.tenant),
+                   options_.classes.at(claimant.request_class), client_key, options_.salt);
 }
 
 claim_result memory_service::claim(request_id id, const request& claimant) {
--- a/src/thrift/request.cpp
+++ b/src/thrift/request.cpp
@@ -81,7 +81,7 @@
   if (const auto item = fields.find("item"); item != fields.end())
     decoded.resource_id = parse_hex(item->second, "item");
   decoded.request_class = require(names.class_of(field(fields, "verb")), "verb");
-  decoded.tenant = require(names.tenant_of(field(fields, "team")), "team");
+  if (!names.has_unnamed_tenant()) decoded.tenant = require(names.tenant_of(field(fields, "team")), "team");
   decoded.payload = message.body;
   if (const key_rule* rule = keys.find(decoded.request_class)) read_key(message, *rule, decoded);
   return decoded;
--- a/src/transaction/coordinator_intake.cpp
+++ b/src/transaction/coordinator_intake.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "core/tenant_name.hpp"
 #include "outcome/effect.hpp"
 #include "telemetry/telemetry.hpp"
 #include "transaction/admission.hpp"
@@ -21,9 +22,7 @@
 // Names are used because the indices may change between restarts: a transaction that is not found under its
 // key would be reported as never run.
 std::string coordinator::scoped_key(const request& client_request) const {
-  const auto& tenants = config_.policy_settings.tenants;
-  std::string key =
-      client_request.tenant < tenants.size() ? tenants[client_request.tenant].name : std::string();
+  std::string key(tenant_name(config_.policy_settings, client_request.tenant));
   key += '\0';
   key += config_.policy_settings.classes[client_request.request_class].name;
   key += '\0';
--- a/src/uwsgi/request.cpp
+++ b/src/uwsgi/request.cpp
@@ -52,7 +52,8 @@
   request decoded;
   decoded.request_class =
       require(names.class_of(mapped_value(received, mapping.request_class)), mapping.request_class);
-  decoded.tenant = require(names.tenant_of(mapped_value(received, mapping.tenant)), mapping.tenant);
+  if (!names.has_unnamed_tenant())
+    decoded.tenant = require(names.tenant_of(mapped_value(received, mapping.tenant)), mapping.tenant);
   double cost_ms =
       decoded.request_class < mapping.default_cost.size() ? mapping.default_cost[decoded.request_class] : 0;
   if (const auto cost = received.find(mapping.cost.var); cost && !cost->empty()) {
--- a/tests/net/dependencies_test.cpp
+++ b/tests/net/dependencies_test.cpp
@@ -82,6 +82,18 @@
   return text.find(wanted) != std::string::npos;
 }
 
+// Guards against gathered reads that wait for their deadline at a site without tenants (beside review/9).
+void fan_out_without_tenants() {
+  node_options options;
+  options.tenants = false;
+  site s(two_parts, options);
+  for (const char* query : {"q=1", "q=2"}) {
+    const std::string response = s.answer(query);
+    CHECK(part(response, "kurse") == "fresh 101.42" && part(response, "stamm") == "fresh DAX");
+  }
+  CHECK(s.price_node->log().find("internal: ") == std::string::npos);
+}
+
 // Each part is passed on byte for byte, even if it contains a multipart boundary. Each sub-request carries
 // its time budget. Request classes without parts are forwarded unchanged.
 void fan_out_assembles_the_parts() {
@@ -271,6 +283,7 @@
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {
       {"assembles_parts", fan_out_assembles_the_parts},
+      {"no_tenants", fan_out_without_tenants},
       {"stalled_dependency", stalled_dependency_gives_a_partial_response},
       {"next_endpoint", next_attempt_goes_to_another_endpoint},
       {"fallbacks", fallbacks_are_tried_in_order},
--- a/tests/net/keyed_classes_test.cpp
+++ b/tests/net/keyed_classes_test.cpp
@@ -130,6 +130,71 @@
   s.price_node->logged("kurs-meldung: on disk for 1200050 ms");
 }
 
+// The settings list no tenants; requests may name none.
+node_options without_tenants(node_options options) {
+  options.tenants = false;
+  return options;
+}
+
+std::string attempt_without_team(int seqid, const std::string& key) {
+  fields f = without_field(usual(2000 + seqid, "kurs-meldung"), "team");
+  f.emplace_back("unique", key);
+  return execute(seqid, f, "price");
+}
+
+// Guards against keyed requests that are never answered at a site without tenants (review/9), whatever their
+// field `team` says.
+void keyed_writes_in_memory_without_tenants() {
+  runtime at;
+  const node price_node(at, without_tenants(keyed_writes(window_ms)));
+  at.up();
+  connection client = connection::to(price_node.port);
+  const auto run_once = [&](const std::string& attempt, const std::string& repeat) {
+    client.send(attempt);
+    at.end(at.expect("start"), "fine", "YQ==");
+    CHECK(result(read_reply(client)) == "a");
+    client.send(repeat);
+    CHECK(result(read_reply(client)) == "a");
+    expect_no_start(at);
+  };
+  run_once(attempt_without_team(1, "a"), keyed_attempt(2, "a"));
+  fields empty_team = with_field(usual(3003, "kurs-meldung"), "team", "");
+  empty_team.emplace_back("unique", "b");
+  run_once(execute(3, empty_team, "price"), attempt_without_team(4, "b"));
+  client.send(execute(5, without_field(usual(3005), "team"), "price"));
+  at.end(at.expect("start"), "fine", "YQ==");
+  CHECK(result(read_reply(client)) == "a");
+  CHECK(price_node.log().find("internal: ") == std::string::npos);
+}
+
+// Guards against results on disk that a site without tenants cannot find again, and against a uwsgi front
+// that needs a tenant there.
+void keyed_writes_on_disk_without_tenants() {
+  site s(without_tenants({}));
+  s.kill();
+  s.replace_setting(" tenant_var = REMOTE_USER\n", "");
+  s.start();
+  connection client = s.thrift();
+  run_to_end(s, client, write_of(1, 1001, "a"));
+  const std::string packet =
+      uwsgi_peer::packet({{"PATH_INFO", "/kurs/meldung"}, {"KEY", "b"}, {"CONTENT_LENGTH", "5"}}, "price");
+  connection caller = s.uwsgi(packet);
+  connection attempt = s.server.accept();
+  attempt.take(10);
+  attempt.send(whole_response());
+  CHECK(caller.rest() == whole_response());
+  s.kill();
+  s.start();
+  connection after = s.thrift();
+  expect_stored_result(s, after, write_of(1, 1002, "a"));
+  CHECK(s.uwsgi(packet).rest() == whole_response());
+  s.kill();
+  const auto [stored, status] = harness::run("results show " + s.folder + "/results '' kurs-meldung a");
+  CHECK(stored == "a" && status == 0);
+  const auto [list, list_status] = harness::run("results list " + s.folder + "/results");
+  CHECK(list.find("tenant=- class=kurs-meldung key=a") != std::string::npos && list_status == 0);
+}
+
 }  // namespace
 
 int main(int, char** argv) {
@@ -139,6 +204,8 @@
       {"unreachable_server", class_in_memory_at_an_unreachable_server},
       {"platform_field", platform_field_without_one_in_the_file},
       {"statistics", statistics_and_log_name_both_stores},
+      {"no_tenants", keyed_writes_in_memory_without_tenants},
+      {"no_tenants_on_disk", keyed_writes_on_disk_without_tenants},
       {"longer_window", window_is_at_least_that_of_the_platform},
   };
   const auto found = tests.find(argv[1] != nullptr ? argv[1] : "");
--- a/tests/net/writing_test.cpp
+++ b/tests/net/writing_test.cpp
@@ -21,6 +21,7 @@
   int write_aim_ms = 20000;
   std::string window = "10m", writes_settings = {}, buch_settings = {};
   std::vector<std::string> more_konto_endpoints = {};
+  bool tenants = true;
 };
 // A node whose request class kurs-meldung is a transaction over the participants konto and buch.
 struct site {
@@ -31,6 +32,7 @@
     node_options_.quota = node_options_.other_quota = 100000;
     node_options_.cores = 64;
     node_options_.write_aim_ms = o.write_aim_ms;
+    node_options_.tenants = o.tenants;
     std::string konto_endpoints = "\"" + konto.server.address() + "\"";
     for (const std::string& endpoint : o.more_konto_endpoints) konto_endpoints += ", \"" + endpoint + "\"";
     node_options_.operators =
@@ -118,6 +120,17 @@
   CHECK(s.konto.steps("long").find('a') == std::string::npos);
 }
 
+// Guards against writes over participants that fail at a site without tenants (beside review/9).
+void writes_without_tenants() {
+  site_options options;
+  options.tenants = false;
+  site s(options);
+  const std::string first = s.answer("a");
+  CHECK(site::status(first) == "200" && s.konto.steps("a") == "pc" && s.buch.steps("a") == "pc");
+  CHECK(s.answer("a") == first && s.konto.transactions() == 1);
+  CHECK(s.price_node->log().find("internal: ") == std::string::npos);
+}
+
 // Guards against a response of a participant that is cut off by a reset and counts as a whole one: a commit
 // is repeated until its result is whole, and a vote that is not whole is not a yes.
 void cut_response_is_no_answer() {
@@ -250,7 +263,8 @@
 }  // namespace
 
 int main(int, char** argv) {
-  const std::map<std::string, void (*)()> tests = {{"open_for_long", open_transaction_survives_compaction},
+  const std::map<std::string, void (*)()> tests = {{"no_tenants", writes_without_tenants},
+                                                   {"open_for_long", open_transaction_survives_compaction},
                                                    {"cut_response", cut_response_is_no_answer},
                                                    {"outcomes_bounded", stored_outcomes_are_bounded},
                                                    {"folder_full", full_folder_rejects_writes},
