Give a request one final answer when its handling throws an exception

Cause: dispatcher::on_arrival() enters a request in its table first. When the idempotency store, an observer or an allocation threw after that, the exception left the connection's read handler: neither the front nor the policy knew the request, and so nothing ever ended it. The end of a run that threw left a group and a slot in the same way.

Change: abandon_arrival() and abandon_run() withdraw such a request from the policy and the store (a queued key is free, the outcome of one that may have run is unknown) and answer it as failed. Failures in decoding and mapping are answered by the fronts. Any other handler that throws loses its connection (net/stream), which owners handle.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "telemetry/exception_text.hpp"
+
 namespace marblewharf {
 namespace {
 
@@ -46,19 +48,54 @@
 
 request_id dispatcher::on_arrival(front& receiving_front, backend& target_backend, request details) {
   any_request_arrived_ = true;
-  ++counters_.received_requests;
   request_entry& entry = requests_.add(receiving_front, target_backend, std::move(details));
+  ++counters_.received_requests;
   const request_id id = entry.id;
   entry.details.arrival_time = now_ - entry.details.read_delay;
-  if (arrival_observer_) arrival_observer_(entry.details);
-  if (coalescer_.handles(entry.details)) {
-    coalescer_.on_arrival(entry);
-  } else {
-    admission_.report(arrived{id, &entry.details});
+  try {
+    admit(entry);
+  } catch (...) {
+    abandon_arrival(entry, telemetry::describe_current_exception());
   }
   return id;
 }
 
+void dispatcher::admit(request_entry& arrival) {
+  if (arrival_observer_) arrival_observer_(arrival.details);
+  if (coalescer_.handles(arrival.details)) {
+    coalescer_.on_arrival(arrival);
+  } else {
+    admission_.report(arrived{arrival.id, &arrival.details});
+  }
+}
+
+// The policy ignores the cancellation of a request that was not reported to it.
+void dispatcher::abandon_arrival(request_entry& arrival, const std::string& cause) {
+  report_internal_error("arrival", cause);
+  admission_.report(cancelled{arrival.id});
+  coalescer_.abandon_arrival(arrival);
+}
+
+// The entry may be gone, if the exception came after its end.
+void dispatcher::abandon_run(request_id id, const std::string& cause) {
+  report_internal_error("event", cause);
+  request_entry* entry = requests_.find(id);
+  if (entry == nullptr) return;
+  if (entry->role == request_role::primary) {
+    coalescer_.abandon_primary(*entry);
+    return;
+  }
+  requests_.respond(*entry, {.status = response_status::failed});
+  admission_.report(completed{id, run_end::lost, {}});
+  requests_.remove(id);
+}
+
+void dispatcher::report_internal_error(const char* during, const std::string& cause) {
+  ++counters_.internal_errors;
+  telemetry::log("internal", "the handling of a request's %s failed, the request is answered as failed: %s",
+                 during, cause.c_str());
+}
+
 void dispatcher::on_client_cancelled(request_id id) {
   request_entry* entry = requests_.find(id);
   if (entry == nullptr || entry->answered) return;
@@ -72,43 +109,59 @@
   if (entry->stage == request_stage::queued) requests_.remove(id);
 }
 
-void dispatcher::on_run_ended(request_id id, run_end end, std::string_view result, duration elapsed) {
-  request_entry* entry = find_started(id);
+template <typename Handler>
+void dispatcher::handle_event(request_entry* entry, Handler handler) {
   if (entry == nullptr) return;
-  if (entry->role == request_role::primary) {
-    coalescer_.on_run_ended(*entry, end, result, elapsed);
+  const request_id id = entry->id;
+  try {
+    handler(*entry);
+  } catch (...) {
+    abandon_run(id, telemetry::describe_current_exception());
+  }
+}
+
+void dispatcher::on_run_ended(request_id id, run_end end, std::string_view result, duration elapsed) {
+  handle_event(find_started(id), [&](request_entry& entry) { end_run(entry, end, result, elapsed); });
+}
+
+void dispatcher::end_run(request_entry& entry, run_end end, std::string_view result, duration elapsed) {
+  if (entry.role == request_role::primary) {
+    coalescer_.on_run_ended(entry, end, result, elapsed);
     return;
   }
   if (end == run_end::succeeded) {
-    requests_.respond(*entry, {.status = response_status::served, .result = result});
+    requests_.respond(entry, {.status = response_status::served, .result = result});
   } else if (end != run_end::aborted) {
     requests_.respond(
-        *entry, {.status = response_status::failed, .unknown_request = end == run_end::unknown_request});
+        entry, {.status = response_status::failed, .unknown_request = end == run_end::unknown_request});
   }
-  admission_.report(completed{id, end, elapsed});
-  if (entry->answered) {
-    requests_.remove(id);
+  admission_.report(completed{entry.id, end, elapsed});
+  if (entry.answered) {
+    requests_.remove(entry.id);
   } else {
-    entry->stage = request_stage::aborted;
+    entry.stage = request_stage::aborted;
   }
 }
 
 void dispatcher::on_backend_rejected(request_id id, duration retry_after) {
-  request_entry* entry = find_started(id);
-  if (entry == nullptr) return;
+  handle_event(find_started(id), [&](request_entry& entry) { reject_run(entry, retry_after); });
+}
+
+void dispatcher::reject_run(request_entry& entry, duration retry_after) {
   const answer final_answer{.status = response_status::rejected, .retry_after = retry_after};
-  if (entry->role == request_role::primary) {
-    coalescer_.on_backend_rejected(*entry, final_answer);
+  if (entry.role == request_role::primary) {
+    coalescer_.on_backend_rejected(entry, final_answer);
     return;
   }
-  requests_.respond(*entry, final_answer);
-  admission_.report(completed{id, run_end::never_started, {}});
-  requests_.remove(id);
+  requests_.respond(entry, final_answer);
+  admission_.report(completed{entry.id, run_end::never_started, {}});
+  requests_.remove(entry.id);
 }
 
 void dispatcher::on_server_unreachable(request_id id) {
-  request_entry* entry = find_started(id);
-  if (entry != nullptr && entry->role == request_role::primary) coalescer_.on_server_unreachable(*entry);
+  handle_event(find_started(id), [this](request_entry& entry) {
+    if (entry.role == request_role::primary) coalescer_.on_server_unreachable(entry);
+  });
 }
 
 void dispatcher::on_dependency_call_needed(request_id id) {
@@ -120,7 +173,7 @@
 }
 
 void dispatcher::on_inquiry_reply(request_id id, inquiry_outcome end, std::string_view result) {
-  coalescer_.on_inquired(id, end, result);
+  handle_event(requests_.find(id), [&](const request_entry&) { coalescer_.on_inquired(id, end, result); });
 }
 
 void dispatcher::on_intent_written(request_id primary, bool durable) {
--- a/src/core/duplicate_coalescer.cpp
+++ b/src/core/duplicate_coalescer.cpp
@@ -98,6 +98,19 @@
   immediate_answers_.push_back({arrival.id, final_answer});
 }
 
+void duplicate_coalescer::abandon_arrival(request_entry& arrival) {
+  if (arrival.role == request_role::duplicate) remove_from_group(arrival);
+  if (handles(arrival.details)) store_of(arrival).abandon(arrival.id);
+  arrival.role = request_role::independent;
+  arrival.group.reset();
+  respond_at_next_step(arrival, answer_run_failed);
+}
+
+void duplicate_coalescer::abandon_primary(request_entry& primary) {
+  store_of(primary).abandon(primary.id);
+  close_group(primary, answer_outcome_unknown, run_end::lost);
+}
+
 // ---- The primary's run ------------------------------------------------------------------------------------
 
 void duplicate_coalescer::start_primary(request_entry& primary) {
--- a/src/core/duplicate_coalescer.hpp
+++ b/src/core/duplicate_coalescer.hpp
@@ -46,6 +46,11 @@
   void on_backend_rejected(request_entry& primary, const answer& final_answer);
   void on_server_unreachable(request_entry& primary);
   void on_inquired(request_id primary_id, inquiry_outcome end, std::string_view result);
+  // The handling of an arrival failed with an exception: ends what is held for the request and answers it as
+  // failed at the next step. Also for requests without a key.
+  void abandon_arrival(request_entry& arrival);
+  // The handling of a later event of a primary failed: answers its group and removes it.
+  void abandon_primary(request_entry& primary);
 
   // ---- Decisions of the policy ----------------------------------------------------------------------------
   void start_primary(request_entry& primary);
--- a/src/core/idempotency_store.hpp
+++ b/src/core/idempotency_store.hpp
@@ -42,6 +42,10 @@
   virtual duration schedule_inquiry_retry(request_id primary) = 0;
   // Ends the primary's ownership of its key. No further call follows for this primary.
   virtual void close_primary(request_id primary) = 0;
+  // The handling of a request failed with an exception, maybe one of this store. Ends all that the store
+  // holds for the request, if anything: a key that has not run is free again, the outcome of one that may
+  // have run is unknown. No further call follows for this request.
+  virtual void abandon(request_id id) = 0;
 
   // Reads the stored result for a request whose status is `completed`; on_result_fetched() follows, unless
   // the request's claim expires first. If another process runs the key, it follows the end of that run.
--- a/src/idempotency/deferred_service.hpp
+++ b/src/idempotency/deferred_service.hpp
@@ -37,6 +37,9 @@
     return store_->schedule_inquiry_retry(primary);
   }
   void close_primary(request_id primary) override { store_->close_primary(primary); }
+  void abandon(request_id id) override {
+    if (store_ != nullptr) store_->abandon(id);
+  }
   void fetch_result(request_id id) override { store_->fetch_result(id); }
 
  private:
--- a/src/idempotency/durable_service.cpp
+++ b/src/idempotency/durable_service.cpp
@@ -219,6 +219,11 @@
   write(primary, claimed, record_of(record_type::release, claimed));
 }
 
+void durable_service::abandon(request_id id) {
+  readers_.erase(id);
+  key_table_service::abandon(id);
+}
+
 duration durable_service::schedule_inquiry_retry(request_id primary) {
   return table_.schedule_inquiry_retry(primary_key(primary).key, now());
 }
--- a/src/idempotency/durable_service.hpp
+++ b/src/idempotency/durable_service.hpp
@@ -61,6 +61,7 @@
   void write_intent(request_id primary, const request& claimant) override;
   bool record_result(request_id primary, bool succeeded, std::string_view result) override;
   void release_key(request_id primary) override;
+  void abandon(request_id id) override;
   duration schedule_inquiry_retry(request_id primary) override;
   void fetch_result(request_id id) override;
 
--- a/src/idempotency/key_table.cpp
+++ b/src/idempotency/key_table.cpp
@@ -93,10 +93,11 @@
   added.expiry = now + window.count();
   added.primary = id;
   added.state = key_state::queued;
+  // The queue first: it may list keys that the table does not have, if emplace() throws.
+  expiry_queues_[window.count()].push_back({added.expiry, key});
+  entries_.emplace(key, added);
   ++open_;
   reserved_bytes_ += bytes_to_reserve(added.state);
-  entries_.emplace(key, added);
-  expiry_queues_[window.count()].push_back({added.expiry, key});
   return {.status = claim_status::primary, .primary = id};
 }
 
@@ -188,6 +189,16 @@
   return true;
 }
 
+void key_table::abandon(const key_id& key) {
+  const auto found = entries_.find(key);
+  if (found == entries_.end() || !is_open(found->second.state)) return;
+  if (found->second.state == key_state::queued) {
+    erase(found);
+  } else {
+    enter(found->second, key_state::outcome_unknown);
+  }
+}
+
 // Counts a failed inquiry and returns the pause before the next one. Returns 0 once `inquiry_tries` is
 // reached: then there is no further inquiry until a duplicate arrives after the pause has passed. The pause
 // doubles with each failed inquiry, up to a limit.
--- a/src/idempotency/key_table.hpp
+++ b/src/idempotency/key_table.hpp
@@ -47,6 +47,8 @@
 //   recording_result  result_recorded()                         completed
 //   outcome_unknown,  expire(), or a claim() past its expiry    (unknown)
 //   completed
+//   queued            abandon()                                 (unknown)
+//   all other open    abandon()                                 outcome_unknown
 //   all but           release(): it never ran                   (unknown)
 //   recording_result
 //   and completed
@@ -114,6 +116,9 @@
   bool result_recorded(const key_id& key, const store::position& result_at, aging_time now);
   bool mark_outcome_unknown(const key_id& key);
   bool release(const key_id& key);
+  // The handling of the primary failed: a queued key is free again, the outcome of any other open key is
+  // unknown.
+  void abandon(const key_id& key);
   // An inquiry did not reveal the outcome. Returns the delay before the next inquiry; 0 = there is none.
   std::chrono::nanoseconds schedule_inquiry_retry(const key_id& key, aging_time now);
 
--- a/src/idempotency/key_table_service.hpp
+++ b/src/idempotency/key_table_service.hpp
@@ -22,6 +22,7 @@
 
   void mark_outcome_unknown(request_id primary) override;
   void close_primary(request_id primary) override { primaries_.erase(primary); }
+  void abandon(request_id id) override;
 
   const key_table& table() const { return table_; }
 
@@ -72,10 +73,16 @@
   aging_clock clock_;  // the steady clock, unless the derived class sets another
 
  private:
+  using primary_map = std::unordered_map<request_id, claimed_key>;
+
+  // Removes the entry of the request if the table throws.
+  key_claim claim_in_table(primary_map::iterator claiming, std::chrono::nanoseconds window,
+                           const request& claimant);
+
   const duration longest_wait_;
   telemetry::gauge_share stored_keys_, unknown_outcomes_;
   idempotency_observer* observer_ = nullptr;
-  std::unordered_map<request_id, claimed_key> primaries_;
+  primary_map primaries_;
   time_point next_expiry_{};
 };
 
--- a/src/idempotency/memory_service.cpp
+++ b/src/idempotency/memory_service.cpp
@@ -123,6 +123,18 @@
   if (table_.release(key) && published) publish_event(primary, {key_event_type::release, key});
 }
 
+void memory_service::abandon(request_id id) {
+  readers_.erase(id);
+  if (!is_primary(id)) return;
+  const key_id key = primary_key(id).key;
+  const bool published = table_.contains(key) && table_.state_of(key) != key_state::queued;
+  const aging_time expiry = primary_key(id).expiry;
+  key_table_service::abandon(id);
+  if (!shared_) return;
+  shared_->withdraw_intent(id);
+  if (published) shared_->add_event({key_event_type::outcome_unknown, key}, expiry);
+}
+
 void memory_service::step(time_point now) {
   now_ = std::max(now_, now);
   reply_to_intents();
--- a/src/idempotency/memory_service.hpp
+++ b/src/idempotency/memory_service.hpp
@@ -53,6 +53,7 @@
   bool record_result(request_id primary, bool succeeded, std::string_view result) override;
   void mark_outcome_unknown(request_id primary) override;
   void release_key(request_id primary) override;
+  void abandon(request_id id) override;
   duration schedule_inquiry_retry(request_id) override { return {}; }
   void fetch_result(request_id id) override { requested_results_.push_back(id); }
 
--- a/src/idempotency/shared_keys.cpp
+++ b/src/idempotency/shared_keys.cpp
@@ -20,6 +20,10 @@
   events_.push_back({expiry, encode(event)});
 }
 
+void shared_keys::withdraw_intent(request_id primary) {
+  std::erase_if(intents_, [primary](const pending_intent& intent) { return intent.primary == primary; });
+}
+
 std::vector<shared_keys::intent_outcome> shared_keys::publish(time_point now, aging_time horizon) {
   std::vector<intent_outcome> outcomes;
   if (has_pending_events()) outcomes = try_publish(now, horizon);
--- a/src/idempotency/shared_keys.hpp
+++ b/src/idempotency/shared_keys.hpp
@@ -40,6 +40,8 @@
   void add_intent(request_id primary, const key_id& key, time_point arrival, aging_time expiry,
                   time_point now);
   void add_event(const key_event& event, aging_time expiry);
+  // Drops the intent of a primary that was not published yet.
+  void withdraw_intent(request_id primary);
 
   // Publishes the pending events. Returns the intents that were published, and those that cannot be, because
   // another process has run the key, the log is full, or another process has blocked it for too long; all
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -6,8 +6,6 @@
 
 #include <algorithm>
 
-#include "telemetry/telemetry.hpp"
-
 namespace marblewharf::net {
 
 time_point steady_now() {
@@ -35,29 +33,42 @@
 
 namespace {
 
-// Logs the exceptions of handlers and steps, which POCO would otherwise swallow.
-class exception_logger : public Poco::ErrorHandler {
+// Reports the exceptions of handlers and steps, which POCO would otherwise swallow.
+class exception_reporter : public Poco::ErrorHandler {
+ public:
+  explicit exception_reporter(reactor& reporting_reactor) : reactor_(reporting_reactor) {}
+
+ private:
   void exception(const Poco::Exception& error) override {
-    telemetry::log("internal", "%s", error.displayText().c_str());
+    reactor_.report_internal_error(error.displayText());
   }
-  void exception(const std::exception& error) override { telemetry::log("internal", "%s", error.what()); }
-  void exception() override { telemetry::log("internal", "unknown exception"); }
+  void exception(const std::exception& error) override { reactor_.report_internal_error(error.what()); }
+  void exception() override { reactor_.report_internal_error("unknown exception"); }
+
+  reactor& reactor_;
 };
 
 }  // namespace
 
-reactor::reactor(const limits& bounds)
-    : bounds_(bounds), read_buffer_(std::max(bounds.read_chunk_bytes, bounds.discard_chunk_bytes), '\0') {}
+reactor::reactor(const limits& bounds, telemetry::counters* counters)
+    : bounds_(bounds),
+      counters_(counters),
+      read_buffer_(std::max(bounds.read_chunk_bytes, bounds.discard_chunk_bytes), '\0') {}
 
 void reactor::serve(std::function<time_point()> step) {
   step_ = std::move(step);
-  exception_logger logger;
-  Poco::ErrorHandler* previous = Poco::ErrorHandler::set(&logger);
+  exception_reporter reporter(*this);
+  Poco::ErrorHandler* previous = Poco::ErrorHandler::set(&reporter);
   wake();
   run();
   Poco::ErrorHandler::set(previous);
 }
 
+void reactor::report_internal_error(const std::string& description) {
+  if (counters_ != nullptr) ++counters_->internal_errors;
+  telemetry::log("internal", "%s", description.c_str());
+}
+
 void reactor::wake() {
   setTimeout(Poco::Timespan(0));
 }
--- a/src/net/reactor.hpp
+++ b/src/net/reactor.hpp
@@ -9,10 +9,12 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "config/config.hpp"
 #include "net/traffic_observer.hpp"
+#include "telemetry/telemetry.hpp"
 
 namespace marblewharf::net {
 
@@ -29,7 +31,9 @@
 
 class reactor : public Poco::Net::SocketReactor {
  public:
-  explicit reactor(const limits& bounds);
+  // `counters`: where internal errors are counted; null: they are only logged. Both arguments outlive the
+  // reactor.
+  explicit reactor(const limits& bounds, telemetry::counters* counters = nullptr);
 
   // Runs the event loop until stop(). Calls `step` after each dispatch round and at the time that its
   // previous call returned.
@@ -50,6 +54,9 @@
   // Bytes in the buffers of all connections.
   std::size_t buffered() const { return buffered_; }
 
+  // Logs and counts an exception that a handler or a step did not expect. Called on the reactor's thread.
+  void report_internal_error(const std::string& description);
+
   // Makes the next step run at once after the current dispatch round. Called when input was read or a result
   // was reported.
   void wake();
@@ -61,6 +68,7 @@
   void onBusy() override { advance(); }
 
   const limits& bounds_;
+  telemetry::counters* const counters_;
   std::function<time_point()> step_;
   traffic_observer* traffic_observer_ = nullptr;
   std::string read_buffer_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "net/graceful_close.hpp"
+#include "telemetry/exception_text.hpp"
 
 namespace marblewharf::net {
 
@@ -14,9 +15,10 @@
     case loss::cannot_connect: return "cannot connect";
     case loss::end_of_stream: return "closed by the peer";
     case loss::reset: return "reset";
-    case loss::slow_peer: break;
+    case loss::slow_peer: return "peer reads too slowly";
+    case loss::internal_error: break;
   }
-  return "peer reads too slowly";
+  return "internal error";
 }
 
 stream::stream(reactor& event_loop, const limits& bounds, observer& callbacks,
@@ -123,6 +125,15 @@
 void stream::on_readable(const readable&) {
   if (!open_) return;
   reactor_.wake();
+  try {
+    read_input();
+  } catch (...) {
+    reactor_.report_internal_error(telemetry::describe_current_exception());
+    fail(loss::internal_error);
+  }
+}
+
+void stream::read_input() {
   const std::size_t max_size = discarding_ ? bounds_.discard_chunk_bytes : bounds_.read_chunk_bytes;
   int size = 0;
   try {
@@ -165,6 +176,15 @@
 
 void stream::on_writable(const writable&) {
   if (!open_) return;
+  try {
+    handle_writable();
+  } catch (...) {
+    reactor_.report_internal_error(telemetry::describe_current_exception());
+    fail(loss::internal_error);
+  }
+}
+
+void stream::handle_writable() {
   if (connecting_) {
     connecting_ = false;
     if (socket_.impl()->socketError() != 0) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -16,15 +16,18 @@
 // How a connection was lost.
 enum class loss {
   cannot_connect,
-  end_of_stream,  // the peer has ended its output in order
-  reset,          // the peer or the network has broken the connection
-  slow_peer,      // closed by this side, because the peer reads too slowly
+  end_of_stream,   // the peer has ended its output in order
+  reset,           // the peer or the network has broken the connection
+  slow_peer,       // closed by this side, because the peer reads too slowly
+  internal_error,  // closed by this side, because the owner threw an exception: its state is not known
 };
 // The loss as a text for logs.
 const char* text_of(loss cause);
 
 class stream {
  public:
+  // An exception out of on_bytes() or on_open() is reported to the reactor, and the connection is lost. An
+  // owner that can still answer what it has read catches its exceptions itself.
   class observer {
    public:
     virtual ~observer() = default;
@@ -71,6 +74,8 @@
   using error = Poco::AutoPtr<Poco::Net::ErrorNotification>;
 
   void register_handlers();
+  void read_input();
+  void handle_writable();
   // Passes the first `size` bytes of the reactor's read buffer to the owner.
   void process_input(std::size_t size);
   // Replaces the content of a buffer and updates the reactor's total.
--- a/src/server/price_node.cpp
+++ b/src/server/price_node.cpp
@@ -36,7 +36,7 @@
 
 price_node::price_node(const config& settings, net::traffic_observer* traffic_observer)
     : config_(settings),
-      reactor_(settings.bounds),
+      reactor_(settings.bounds, &counters_),
       dispatcher_(settings.policy_settings, settings.seed, net::steady_now(), counters_),
       wakeup_(settings.keyed ? std::make_unique<net::event_loop_wakeup>(reactor_) : nullptr),
       file_system_(std::make_shared<store::posix_file_system>()),
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -88,12 +88,12 @@
       " failed=%" PRIu64 " given_up=%" PRIu64 " gone=%" PRIu64 " bad_requests=%" PRIu64 " bad_frames=%" PRIu64
       " checks=%" PRIu64 " silent=%" PRIu64 " made_room=%" PRIu64 " turned_away=%" PRIu64
       " links_lost=%" PRIu64 " nacks=%" PRIu64 " starts_in_doubt=%" PRIu64 " console_calls=%" PRIu64
-      " console_bad=%" PRIu64,
+      " console_bad=%" PRIu64 " internal_errors=%" PRIu64,
       totals.accepted_connections, totals.received_requests, totals.started_runs, totals.served,
       totals.rejected, totals.failed, totals.deadline_exceeded, totals.cancelled, totals.invalid_requests,
       totals.invalid_frames, totals.health_checks, totals.silent_connections, totals.evicted_connections,
       totals.rejected_connections, totals.lost_runtime_connections, totals.rejected_runtime_commands,
-      totals.unconfirmed_starts, totals.console_commands, totals.console_errors);
+      totals.unconfirmed_starts, totals.console_commands, totals.console_errors, totals.internal_errors);
   if (totals.stored_bytes == 0 && totals.stored_keys == 0 && totals.peer_keys == 0)
     return;  // the idempotency store is empty or not in use
   log("counters",
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -44,7 +44,10 @@
   // Inquiries that the server of the request did not answer: it is away, not in the settings, or hung up.
   std::uint64_t inquiries_without_server = 0;
   std::uint64_t rejected_for_key_capacity = 0;  // requests rejected because their key could not be recorded
-  std::uint64_t background_faults = 0;          // damaged data found by scrubbing, and jobs that failed
+  // Exceptions that no code expects, in handlers of events and in steps of the event loop: faults of the
+  // program.
+  std::uint64_t internal_errors = 0;
+  std::uint64_t background_faults = 0;  // damaged data found by scrubbing, and jobs that failed
   // Current state of the idempotency stores, on disk and in memory together: keys in the tables, keys whose
   // outcome is unknown, bytes that results occupy; and commits to disk since the start.
   std::uint64_t stored_keys = 0, keys_with_unknown_outcome = 0, stored_bytes = 0, store_commits = 0;
--- a/src/thrift/codec.cpp
+++ b/src/thrift/codec.cpp
@@ -111,6 +111,26 @@
   bytes::byte_reader bytes_;
 };
 
+message_header read_header(reader& in) {
+  message_header header;
+  message_type received_type{};
+  try {
+    const std::uint32_t version_and_type = in.u32();
+    if ((version_and_type & version_mask) != version_1)
+      throw bad_frame("message is not in the strict binary protocol");
+    received_type = static_cast<message_type>(version_and_type & 0xff);
+    header.method = in.string();
+    header.seqid = in.i32();
+  } catch (const truncated&) {
+    throw bad_frame("incomplete message header");
+  }
+  if (received_type != message_type::call && received_type != message_type::oneway)
+    throw bad_frame("message has the unexpected type " +
+                    std::to_string(static_cast<unsigned>(received_type)));
+  header.answerable = received_type == message_type::call;
+  return header;
+}
+
 field_map read_fields(reader& in, const limits& bounds) {
   const type key = in.kind();
   const type item = in.kind();
@@ -249,30 +269,27 @@
   return frame{bytes.substr(length_prefix_size, size), length_prefix_size + size};
 }
 
-message decode(std::string_view payload, const limits& bounds) {
+std::optional<message_header> find_header(std::string_view payload) {
   reader in(payload);
-  message decoded;
-  std::string_view method;
-  message_type received_type{};
   try {
-    const std::uint32_t header = in.u32();
-    if ((header & version_mask) != version_1) throw bad_frame("message is not in the strict binary protocol");
-    received_type = static_cast<message_type>(header & 0xff);
-    method = in.string();
-    decoded.seqid = in.i32();
-  } catch (const truncated&) {
-    throw bad_frame("incomplete message header");
+    return read_header(in);
+  } catch (const bad_frame&) {
+    return std::nullopt;
   }
-  if (received_type != message_type::call && received_type != message_type::oneway)
-    throw bad_frame("message has the unexpected type " +
-                    std::to_string(static_cast<unsigned>(received_type)));
-  const bool answerable = received_type == message_type::call;
+}
+
+message decode(std::string_view payload, const limits& bounds) {
+  reader in(payload);
+  const message_header header = read_header(in);
+  message decoded;
+  decoded.seqid = header.seqid;
+  const bool answerable = header.answerable;
   try {
-    if (method == "execute" && answerable) {
+    if (header.method == "execute" && answerable) {
       decoded.content = read_execute(in, bounds);
-    } else if (method == "interrupt") {
+    } else if (header.method == "interrupt") {
       decoded.content = read_interrupt(in);
-    } else if (method == "check" && answerable) {
+    } else if (header.method == "check" && answerable) {
       decoded.content = read_check(in);
     } else {
       decoded.content = undecodable{app_error::unknown_method, "unknown method", answerable};
--- a/src/thrift/codec.hpp
+++ b/src/thrift/codec.hpp
@@ -44,6 +44,12 @@
   std::string text;
   bool answerable = true;  // false for a oneway message, which never gets a reply
 };
+// The head of a message. `method` is valid as long as the payload.
+struct message_header {
+  std::string_view method;
+  std::int32_t seqid = 0;
+  bool answerable = true;  // false for a oneway message, which never gets a reply
+};
 struct message {
   std::int32_t seqid = 0;
   std::variant<execute, interrupt, check, undecodable> content;
@@ -58,6 +64,10 @@
 // prefix is 0 or exceeds the limit.
 std::optional<frame> next_frame(std::string_view bytes, const limits& bounds);
 
+// Decodes only the header of a payload. Allocates no memory for a valid one. Returns nullopt if the header is
+// invalid.
+std::optional<message_header> find_header(std::string_view payload);
+
 // Decodes the payload of a frame. Throws bad_frame if the message header is invalid.
 message decode(std::string_view payload, const limits& bounds);
 
--- a/src/thrift/front.cpp
+++ b/src/thrift/front.cpp
@@ -6,11 +6,12 @@
 #include <optional>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "fronts/end_connections.hpp"
 #include "net/graceful_close.hpp"
+#include "telemetry/exception_text.hpp"
+#include "thrift/front_connection.hpp"
 #include "thrift/request.hpp"
 
 namespace marblewharf::thrift {
@@ -19,9 +20,6 @@
 
 namespace {
 
-// The rank of a connection depends on whether no message, one, or more were received on it.
-constexpr unsigned max_messages_counted = 2;
-
 // The fields of an error reply, under their names on the wire.
 field_map fields_of(const answer& final_answer) {
   field_map fields;
@@ -37,176 +35,6 @@
 
 }  // namespace
 
-class server::connection : public net::stream::observer {
- public:
-  connection(server& front, const Poco::Net::StreamSocket& socket)
-      : server_(front), stream_(front.reactor_, front.config_.bounds, *this, socket) {}
-
-  std::size_t on_bytes(std::string_view bytes) override;
-  void on_lost(net::loss) override { server_.drop(*this); }
-
-  void send(const std::string& frame);
-  // Sends the caller a request to close the connection, at most once.
-  void ask_to_close();
-  // Stops reading because the caller violated the protocol. Open requests are still answered.
-  void stop_reading(const char* reason);
-  // Counts a bad message; stops reading after `max_invalid_messages` of them on the connection.
-  void add_strike();
-  // Ends the connection in such a way that the caller receives everything sent before. No request may be
-  // open.
-  void end();
-  bool ended() const { return ended_; }
-  // Whether a request is open on this connection, or unread bytes may contain one.
-  bool has_pending_answer() const {
-    return !open_requests_.empty() || (!reading_stopped_ && stream_.has_unread_input());
-  }
-  bool has_incomplete_message() const { return incomplete_since_.count() > 0; }
-  // Rank of the connection among those that may be closed to make room for a new one; the lowest is closed
-  // first. Empty if a request is open or arriving.
-  std::optional<time_point> eviction_rank() const;
-
- private:
-  friend class server;
-  friend class net::connections<connection>;  // accesses stream_ and arriving_
-
-  server& server_;
-  net::stream stream_;
-  std::unordered_map<std::int32_t, request_id> open_requests_;  // by sequence number
-  time_point last_used_ = net::steady_now();
-  time_point incomplete_since_{};  // 0: no incomplete frame
-  unsigned strikes_ = 0;
-  unsigned messages_ = 0;  // complete messages received, counted up to max_messages_counted
-  time_point asked_to_close_at_{};
-  bool arriving_ = false;  // received bytes that have not been read yet
-  bool asked_to_close_ = false;
-  bool reading_stopped_ = false;
-  bool ended_ = false;
-
- private:
-  void handle(const message& received);
-  void handle(const execute& request, std::int32_t seqid);
-  void handle(const interrupt& cancellation);
-  void handle(const undecodable& unknown, std::int32_t seqid);
-  void reject(std::int32_t seqid, app_error error, const std::string& text);
-};
-
-void server::connection::send(const std::string& frame) {
-  last_used_ = net::steady_now();
-  stream_.send(frame);
-}
-
-void server::connection::ask_to_close() {
-  if (asked_to_close_) return;
-  asked_to_close_ = true;
-  asked_to_close_at_ = net::steady_now();
-  stream_.send(encode_closing());
-}
-
-std::size_t server::connection::on_bytes(std::string_view bytes) {
-  arriving_ = false;
-  if (reading_stopped_) return bytes.size();  // discard, but keep reading to notice the end of the connection
-  try {
-    const std::optional<frame> received = next_frame(bytes, server_.config_.bounds);
-    if (!received) {
-      // Further bytes do not extend the time limit, so a frame sent byte by byte cannot stay open forever.
-      if (!has_incomplete_message()) incomplete_since_ = net::steady_now();
-      return 0;
-    }
-    last_used_ = net::steady_now();
-    incomplete_since_ = {};
-    messages_ = std::min(messages_ + 1, max_messages_counted);
-    handle(decode(received->payload, server_.config_.bounds));
-    return received->size;
-  } catch (const bad_frame& error) {
-    stop_reading(error.what());
-    return bytes.size();
-  }
-}
-
-void server::connection::stop_reading(const char* reason) {
-  ++server_.counters_.invalid_frames;
-  log("bad-frame", "reading from the connection stopped with %zu requests open: %s", open_requests_.size(),
-      reason);
-  reading_stopped_ = true;
-  incomplete_since_ = {};
-  ask_to_close();
-  if (open_requests_.empty()) end();
-}
-
-void server::connection::add_strike() {
-  ++strikes_;
-  if (strikes_ >= server_.config_.bounds.max_invalid_messages && !reading_stopped_)
-    stop_reading("too many bad messages");
-}
-
-void server::connection::end() {
-  if (std::exchange(ended_, true)) return;
-  ask_to_close();
-  last_used_ = net::steady_now();
-  stream_.shutdown_output();
-}
-
-// Order of closing: connections that were asked to close, then those on which no message, one message,
-// and more than one were received. The offsets separate the four groups; within a group the least recently
-// used comes first.
-std::optional<time_point> server::connection::eviction_rank() const {
-  if (!open_requests_.empty() || has_incomplete_message() || (arriving_ && !reading_stopped_))
-    return std::nullopt;
-  if (asked_to_close_) return time_point::min() + asked_to_close_at_;
-  if (messages_ == 0) return time_point::min() / 2 + last_used_;
-  if (messages_ == 1) return time_point::min() / 4 + last_used_;
-  return last_used_;
-}
-
-void server::connection::reject(std::int32_t seqid, app_error error, const std::string& text) {
-  ++server_.counters_.invalid_frames;
-  log("bad-request", "message %d rejected: %s", seqid, text.c_str());
-  send(encode_exception(seqid, "execute", error, text));
-  add_strike();
-}
-
-void server::connection::handle(const message& received) {
-  if (const auto* request = std::get_if<execute>(&received.content)) {
-    handle(*request, received.seqid);
-  } else if (const auto* cancellation = std::get_if<interrupt>(&received.content)) {
-    handle(*cancellation);
-  } else if (const auto* unknown = std::get_if<undecodable>(&received.content)) {
-    handle(*unknown, received.seqid);
-  } else {
-    ++server_.counters_.health_checks;
-    send(encode_health(received.seqid, server_.healthy()));
-  }
-}
-
-void server::connection::handle(const execute& request, std::int32_t seqid) {
-  if (open_requests_.contains(seqid)) {
-    stop_reading("sequence number of an open request was reused");
-  } else if (open_requests_.size() >= server_.config_.bounds.max_in_flight_per_connection) {
-    reject(seqid, app_error::internal, "too many open requests");
-  } else {
-    server_.begin_request(*this, request, seqid);
-  }
-}
-
-void server::connection::handle(const interrupt& cancellation) {
-  const auto found = open_requests_.find(cancellation.seqid);
-  if (found == open_requests_.end()) return;  // answered already
-  const request_id id = found->second;
-  open_requests_.erase(found);
-  server_.open_requests_.erase(id);
-  server_.dispatcher_.on_client_cancelled(id);
-}
-
-void server::connection::handle(const undecodable& unknown, std::int32_t seqid) {
-  if (unknown.answerable) {
-    reject(seqid, unknown.error, unknown.text);
-    return;
-  }
-  ++server_.counters_.invalid_frames;
-  log("bad-request", "oneway message ignored: %s", unknown.text.c_str());
-  add_strike();
-}
-
 server::server(net::reactor& reactor, const config& settings, dispatcher& requests, backend& runs,
                telemetry::counters& counters)
     : reactor_(reactor),
@@ -252,6 +80,17 @@
   if (draining_) accepted.ask_to_close();
 }
 
+// A request that cannot be passed to the dispatcher is answered here.
+void server::begin_or_fail_request(connection& client_connection, const execute& message,
+                                   std::int32_t seqid) {
+  try {
+    begin_request(client_connection, message, seqid);
+  } catch (...) {
+    reactor_.report_internal_error(telemetry::describe_current_exception());
+    client_connection.send(encode_internal(seqid, {}));
+  }
+}
+
 void server::begin_request(connection& client_connection, const execute& message, std::int32_t seqid) {
   request decoded;
   try {
@@ -264,8 +103,14 @@
     return;
   }
   const request_id id = dispatcher_.on_arrival(*this, backend_, std::move(decoded));
-  client_connection.open_requests_.emplace(seqid, id);
-  open_requests_.emplace(id, open_request{&client_connection, seqid});
+  try {
+    client_connection.open_requests_.emplace(seqid, id);
+    open_requests_.emplace(id, open_request{&client_connection, seqid});
+  } catch (...) {
+    client_connection.open_requests_.erase(seqid);
+    dispatcher_.on_client_cancelled(id);
+    throw;
+  }
 }
 
 void server::respond(request_id id, const answer& final_answer) {
@@ -315,7 +160,7 @@
       candidate.asked_to_close_ && !draining_ && now - candidate.asked_to_close_at_ > bounds.linger_timeout;
   if (candidate.has_incomplete_message() &&
       now - candidate.incomplete_since_ > bounds.partial_frame_timeout) {
-    candidate.stop_reading("message incomplete after the time limit");
+    candidate.reject_frame("message incomplete after the time limit");
   } else if (candidate.ended()) {
     if (unused <= bounds.linger_timeout) return;
     candidate.stream_.close();
--- a/src/thrift/front.hpp
+++ b/src/thrift/front.hpp
@@ -56,6 +56,7 @@
   };
 
   void accept(const Poco::Net::StreamSocket& socket);
+  void begin_or_fail_request(connection& client_connection, const execute& message, std::int32_t seqid);
   void begin_request(connection& client_connection, const execute& message, std::int32_t seqid);
   void drop(connection& closed);
   // Closes or ends a connection that exceeds one of its time limits.
--- a/src/uwsgi/front.cpp
+++ b/src/uwsgi/front.cpp
@@ -8,6 +8,7 @@
 
 #include "fronts/end_connections.hpp"
 #include "net/graceful_close.hpp"
+#include "telemetry/exception_text.hpp"
 #include "uwsgi/request.hpp"
 
 namespace marblewharf::uwsgi {
@@ -18,6 +19,7 @@
 
 constexpr unsigned unprocessable_content = 422;
 constexpr unsigned conflict = 409;
+constexpr unsigned internal_server_error = 500;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned service_unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
@@ -86,15 +88,17 @@
     const std::optional<packet> received = next_packet(bytes, server_.config_.bounds);
     if (!received) return 0;
     const std::size_t size = received->bytes.size();
-    id_ = server_.begin_request(*received);
-    server_.open_requests_.emplace(id_, this);
+    server_.begin_request(*this, *received);
     return size;
   } catch (const bad_packet& error) {
     ++server_.counters_.invalid_frames;
     log("bad-packet", "uwsgi: %s", error.what());
     respond(encode_response(error.status));
-    return bytes.size();
+  } catch (...) {
+    server_.reactor_.report_internal_error(telemetry::describe_current_exception());
+    respond(encode_response(internal_server_error));
   }
+  return bytes.size();
 }
 
 void server::connection::respond(std::string_view response) {
@@ -146,8 +150,16 @@
   connections_.add(std::make_shared<connection>(*this, socket));
 }
 
-request_id server::begin_request(const packet& received) {
-  return dispatcher_.on_arrival(*this, backend_, to_request(received, *config_.uwsgi, names_, keys_));
+void server::begin_request(connection& client_connection, const packet& received) {
+  const request_id id =
+      dispatcher_.on_arrival(*this, backend_, to_request(received, *config_.uwsgi, names_, keys_));
+  try {
+    open_requests_.emplace(id, &client_connection);
+  } catch (...) {
+    dispatcher_.on_client_cancelled(id);
+    throw;
+  }
+  client_connection.id_ = id;
 }
 
 void server::respond(request_id id, const answer& final_answer) {
--- a/src/uwsgi/front.hpp
+++ b/src/uwsgi/front.hpp
@@ -46,7 +46,7 @@
   class connection;
 
   void accept(const Poco::Net::StreamSocket& socket);
-  request_id begin_request(const packet& received);
+  void begin_request(connection& client_connection, const packet& received);
   void drop(connection& closed);
   // Closes or ends a connection that exceeds one of its time limits.
   void apply_time_limits(connection& candidate, time_point now);
--- a/src/uwsgi/packet.cpp
+++ b/src/uwsgi/packet.cpp
@@ -46,6 +46,7 @@
     case 409: return "Conflict";
     case 422: return "Unprocessable Content";
     case 413: return "Content Too Large";
+    case 500: return "Internal Server Error";
     case 502: return "Bad Gateway";
     case 503: return "Service Unavailable";
     case 504: return "Gateway Timeout";
--- a/tests/idempotency/key_table_test.cpp
+++ b/tests/idempotency/key_table_test.cpp
@@ -442,6 +442,14 @@
     CHECK(pass == (s == key_state::completed         ? claim_status::completed
                    : s == key_state::outcome_unknown ? claim_status::inquiry_primary
                                                      : claim_status::coalesced));
+    key_table abandoned = in(s);
+    abandoned.abandon(key);
+    CHECK(abandoned.contains(key) == (s != key_state::queued));
+    CHECK(s == key_state::queued ||
+          abandoned.state_of(key) ==
+              (s == key_state::completed ? key_state::completed : key_state::outcome_unknown));
+    CHECK(abandoned.open() == 0 && abandoned.reserved_bytes() == 0);
+    CHECK(abandoned.outcomes_unknown() == (s != key_state::queued && s != key_state::completed));
     // Space is reserved only for records that are not written yet.
     CHECK(known.reserved_bytes() <= 300 && (s != key_state::completed || known.reserved_bytes() == 0));
     // Open keys do not expire; the others do.
--- a/tests/idempotency/shared_keys_test.cpp
+++ b/tests/idempotency/shared_keys_test.cpp
@@ -122,6 +122,27 @@
   CHECK(first.fetch(2) == fetch_outcome::run_failed);
 }
 
+// Guards against a second run of a key whose handling failed with an exception: one that has not run is free,
+// the outcome of one that runs is unknown in all processes, and an intent that was not published is not.
+void abandoned_keys_do_not_run_twice() {
+  const folder at;
+  process first(at, 1), second(at, 2);
+  CHECK(first.arrive(1, "queued") == claim_status::primary);
+  first.service->abandon(1);
+  CHECK(first.arrive(2, "queued") == claim_status::primary);
+  first.begin(3, "running");
+  first.service->abandon(3);
+  first.service->step(start);
+  CHECK(first.arrive(4, "running") == claim_status::outcome_unknown);
+  CHECK(second.arrive(11, "running") == claim_status::outcome_unknown);
+  CHECK(first.arrive(5, "unpublished") == claim_status::primary);
+  first.service->write_intent(5, process::attempt("unpublished", start));
+  first.service->abandon(5);
+  first.service->step(start);
+  CHECK(!first.observer.intents.contains(5));
+  CHECK(second.arrive(12, "unpublished") == claim_status::primary);
+}
+
 // Guards against two runs of a key that both processes had queued: the one that publishes its intent first
 // runs, the other one does not.
 void one_of_two_queued_attempts_runs() {
@@ -244,6 +265,7 @@
 int main(int, char** argv) {
   const std::map<std::string, void (*)()> tests = {
       {"repeat", repeat_shares_the_run_of_another_process},
+      {"abandoned", abandoned_keys_do_not_run_twice},
       {"queued_in_both", one_of_two_queued_attempts_runs},
       {"silence", outcome_is_unknown_without_an_event},
       {"later_events", later_events_settle_the_outcome},
--- a/tests/net/dispatcher_test.cpp
+++ b/tests/net/dispatcher_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <new>
 #include <set>
+#include <stdexcept>
 
 #include "harness.hpp"
 
@@ -88,10 +89,26 @@
   void release_key(request_id primary) override { released.insert(primary); }
   duration schedule_inquiry_retry(request_id) override { return {}; }
   void close_primary(request_id primary) override { closed.insert(primary); }
+  void abandon(request_id id) override { abandoned.insert(id); }
   void fetch_result(request_id) override {}
 
   dispatcher& observer;
-  std::set<request_id> claimed, released, closed;
+  std::set<request_id> claimed, released, closed, abandoned;
+};
+
+// A store that throws exceptions where the test says so. Requests with the same key share its first primary.
+struct throwing_store : granting_store {
+  using granting_store::granting_store;
+  claim_result claim(request_id id, const request& details) override {
+    if (throws_at_claim) throw std::out_of_range("claim");
+    const auto [primary, is_new] = primaries.emplace(details.key, id);
+    if (!is_new) return {.status = claim_status::coalesced, .primary = primary->second};
+    return granting_store::claim(id, details);
+  }
+  bool record_result(request_id, bool, std::string_view) override { throw std::runtime_error("record"); }
+
+  bool throws_at_claim = false;
+  std::map<std::string, request_id> primaries;
 };
 
 admission_policy::settings test_settings(unsigned cores = 2) {
@@ -216,6 +233,68 @@
   CHECK(test.dispatcher_under_test.open_requests() == 0);
 }
 
+// Guards against requests that are never answered, and stay booked, because the handling of their arrival
+// threw an exception (review/9): with and without a key.
+void arrivals_that_throw_are_answered() {
+  admission_policy::settings settings = test_settings();
+  settings.memory_kb = 200;  // for twenty requests
+  fixture test(settings);
+  throwing_store store(test.dispatcher_under_test);
+  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  std::vector<request_id> ids;
+  for (int i = 0; i < 100; ++i) {
+    store.throws_at_claim = true;
+    ids.push_back(test.arrive(1, "a"));
+    test.dispatcher_under_test.set_arrival_observer([](const request&) { throw 7; });
+    ids.push_back(test.arrive(0));
+    test.dispatcher_under_test.set_arrival_observer({});
+    test.advance(10ms);
+  }
+  for (const request_id id : ids) CHECK(test.answers.at(id) == response_status::failed);
+  CHECK(test.runs.empty() && test.dispatcher_under_test.open_requests() == 0);
+  CHECK(test.counters.internal_errors == 200 && test.counters.failed == 200 &&
+        test.counters.received_requests == 200);
+  CHECK(store.abandoned.size() == 100);
+  store.throws_at_claim = false;
+  const request_id keyed = test.arrive(1, "a"), unkeyed = test.arrive(0);
+  test.advance(10ms);
+  CHECK(test.runs.contains(keyed) && test.runs.contains(unkeyed));
+}
+
+// Guards against an answer to a caller that has cancelled its request after the handling of the arrival threw
+// an exception.
+void cancelled_arrivals_that_throw_get_no_answer() {
+  fixture test(test_settings());
+  test.dispatcher_under_test.set_arrival_observer([](const request&) { throw std::bad_alloc(); });
+  const request_id id = test.arrive(0);
+  test.dispatcher_under_test.on_client_cancelled(id);
+  test.advance(10ms);
+  CHECK(test.answers.empty() && test.dispatcher_under_test.open_requests() == 0);
+  CHECK(test.counters.cancelled == 1 && test.counters.failed == 0);
+}
+
+// Guards against a group that is never answered because the end of its run threw an exception.
+void run_ends_that_throw_are_answered() {
+  admission_policy::settings settings = test_settings();
+  settings.classes[1].effect = admission_policy::request_effect::keyed;
+  settings.classes[1].idempotency_window = 3s;
+  fixture test(settings);
+  throwing_store store(test.dispatcher_under_test);
+  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  for (int i = 0; i < 100;
+       ++i) {  // more than the cores can run, so that the slots of the runs are free again
+    const std::string key = std::to_string(i);
+    const request_id primary = test.arrive(1, key), duplicate = test.arrive(1, key);
+    test.advance(10ms);
+    CHECK(test.runs.contains(primary) && !test.runs.contains(duplicate));
+    test.dispatcher_under_test.on_run_ended(primary, run_end::succeeded, "x", 5ms);
+    CHECK(test.answers.at(primary) == response_status::failed);
+    CHECK(test.answers.at(duplicate) == response_status::failed);
+    CHECK(store.abandoned.contains(primary));
+  }
+  CHECK(test.dispatcher_under_test.open_requests() == 0 && test.counters.internal_errors == 100);
+}
+
 // After a shutdown notice every request is answered before the process is killed, and requests that arrive
 // after the grace period are rejected without a run.
 void requests_are_answered_after_a_shutdown_notice() {
@@ -243,6 +322,9 @@
       {"cancelled", cancelled_requests_get_no_answer},
       {"shutdown_notice", requests_are_answered_after_a_shutdown_notice},
       {"stores_by_class", each_class_has_its_own_store},
+      {"throwing_arrival", arrivals_that_throw_are_answered},
+      {"throwing_arrival_cancelled", cancelled_arrivals_that_throw_get_no_answer},
+      {"throwing_run_end", run_ends_that_throw_are_answered},
       {"bounded_memory", ended_requests_leave_no_memory}};
   tests.at(argv[1])();
   return 0;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -128,6 +128,8 @@
     received_.append(chunk, static_cast<std::size_t>(n));
     return true;
   }
+  // Returns the bytes that were received so far.
+  std::string take_received() { return std::exchange(received_, {}); }
   // Receives and returns exactly that many bytes.
   std::string take(std::size_t size) {
     while (received_.size() < size) CHECK(more());
