--- a/src/idempotency/key_table_service.hpp
+++ b/src/idempotency/key_table_service.hpp
@@ -10,7 +10,7 @@
 #include "core/idempotency_store.hpp"
 #include "idempotency/aging_clock.hpp"
 #include "idempotency/key_table.hpp"
-#include "telemetry/gauge_share.hpp"
+#include "telemetry/gauge_contribution.hpp"
 #include "telemetry/telemetry.hpp"
 
 namespace marblewharf::idempotency {
@@ -69,7 +69,7 @@
 
   telemetry::counters& counters_;
   key_table table_;
-  telemetry::gauge_share stored_bytes_;
+  telemetry::gauge_contribution stored_bytes_;
   aging_clock clock_;  // the steady clock, unless the derived class sets another
 
  private:
@@ -80,7 +80,7 @@
                            const request& claimant);
 
   const duration longest_wait_;
-  telemetry::gauge_share stored_keys_, unknown_outcomes_;
+  telemetry::gauge_contribution stored_keys_, unknown_outcomes_;
   idempotency_observer* observer_ = nullptr;
   primary_map primaries_;
   time_point next_expiry_{};
--- a/src/telemetry/gauge_share.hpp
+++ b/src/telemetry/gauge_contribution.hpp
@@ -1,4 +1,4 @@
-// One component's share of a gauge that several components add to.
+// What one component contributes to a gauge that several components add to.
 #pragma once
 
 #include <cstdint>
@@ -7,12 +7,12 @@
 
 // Adds its value to a gauge of telemetry::counters, and takes it away when it is destroyed. Not thread-safe:
 // owned by the thread that owns the counters, which outlive this object.
-class gauge_share {
+class gauge_contribution {
  public:
-  explicit gauge_share(std::uint64_t& total) : total_(total) {}
-  ~gauge_share() { set(0); }
-  gauge_share(const gauge_share&) = delete;
-  gauge_share& operator=(const gauge_share&) = delete;
+  explicit gauge_contribution(std::uint64_t& total) : total_(total) {}
+  ~gauge_contribution() { set(0); }
+  gauge_contribution(const gauge_contribution&) = delete;
+  gauge_contribution& operator=(const gauge_contribution&) = delete;
 
   // Replaces the previous value.
   void set(std::uint64_t value) {
--- a/tests/net/replacement_test.cpp
+++ b/tests/net/replacement_test.cpp
@@ -269,38 +269,68 @@
   run_write(n.second, after, "b", "Yg==");
 }
 
-// Guards against a node with results on disk that hands the keys of its other classes to nobody.
-void keys_in_memory_are_handed_over_beside_keys_on_disk() {
-  const shared_folder folder;
-  const int port = free_port();
-  node_options options = keyed_reads(window_ms);  // the operator's file stores results of kurs-meldung
-  options.operators = folder.keyed_operators();
-  const auto read = [](int seqid) { return keyed_attempt(seqid, "a", 0, "kurs-abfrage"); };
-  const auto write = [](int seqid) {
-    fields f = usual(300000 + seqid, "kurs-meldung");
+// A node whose operator's file stores results of kurs-meldung on disk, and whose keys of kurs-abfrage are in
+// memory.
+struct mixed_node {
+  mixed_node() {
+    options.operators = folder.keyed_operators();
+    first.start(folder, port, options);
+  }
+  static std::string in_memory(int seqid) { return keyed_attempt(seqid, "a", 0, "kurs-abfrage"); }
+  static std::string on_disk(int seqid) {
+    static int attempts = 300000;
+    fields f = usual(++attempts, "kurs-meldung");
     f.emplace_back("key", "a");
     return execute(seqid, f, "price");
-  };
+  }
+
+  const shared_folder folder;
+  const int port = free_port();
+  node_options options = keyed_reads(window_ms);
   node_process first, second;
-  first.start(folder, port, options);
-  connection before = connection::to(port);
-  for (const std::string& attempt : {read(1), write(2)}) {
+};
+
+// Guards against a node with results on disk that hands the keys of its other classes to nobody.
+void keys_in_memory_are_handed_over_beside_keys_on_disk() {
+  mixed_node n;
+  connection before = connection::to(n.port);
+  for (const std::string& attempt : {n.in_memory(1), n.on_disk(2)}) {
     before.send(attempt);
-    first.at.end(first.at.expect("start"), "fine", "YQ==");
+    n.first.at.end(n.first.at.expect("start"), "fine", "YQ==");
     expect_served(before, "a");
   }
-  second.start(folder, port, options);
-  second.process->logged("joined the log of shared keys: 1 keys of other processes");
-  first.leave();
+  n.second.start(n.folder, n.port, n.options);
+  n.second.process->logged("joined the log of shared keys: 1 keys of other processes");
+  n.first.leave();
   close_when_asked(before);
-  connection after = connection::to(port);
-  after.send(read(1));
+  connection after = connection::to(n.port);
+  after.send(n.in_memory(1));
   expect_served(after, "a");
-  CHECK(first.process->wait() == 0);
-  second.process->logged("opened after its release: 1 keys recovered");
-  after.send(write(2));
+  CHECK(n.first.process->wait() == 0);
+  n.second.process->logged("opened after its release: 1 keys recovered");
+  after.send(n.on_disk(2));
   expect_served(after, "a");
-  expect_no_start(second.at);
+  expect_no_start(n.second.at);
+}
+
+// Guards against runs beside those of a process that was killed in the middle: their outcomes stay unknown in
+// both stores.
+void runs_of_a_killed_predecessor_beside_keys_on_disk() {
+  mixed_node n;
+  connection before = connection::to(n.port);
+  before.send(n.in_memory(1) + n.on_disk(2));
+  n.first.at.expect("start");
+  n.first.at.expect("start");
+  n.second.start(n.folder, n.port, n.options);
+  n.first.process->signal(SIGKILL);
+  CHECK(n.first.process->wait() == -1);
+  connection after = connection::to(n.port);
+  after.send(n.in_memory(1));
+  expect_outcome_unknown(after);
+  n.second.process->logged("opened after its release: 1 keys recovered");
+  after.send(n.on_disk(2));
+  expect_outcome_unknown(after);
+  expect_no_start(n.second.at);
 }
 
 // Guards against harm by files that are not the node's: keyed writes run, and are still handed over where the
@@ -353,6 +383,7 @@
       {"reverse", predecessor_serves_the_result_of_its_successor},
       {"twice", key_outlasts_two_replacements},
       {"beside_disk", keys_in_memory_are_handed_over_beside_keys_on_disk},
+      {"beside_disk_killed", runs_of_a_killed_predecessor_beside_keys_on_disk},
       {"foreign_files", foreign_files_do_no_harm},
       {"locked_log", locked_log_refuses_keyed_writes},
       {"no_folder", file_in_place_of_the_folder_leaves_the_node_alone},
