End a request whose start, or whose store's reply, throws an exception

A backend that threw when a run was handed to it, and a reply of the store whose handling threw, still left a request without an end: the decision was lost with the step of the event loop, and the slot of the run stayed taken at the policy.

Change: decisions on a request and the replies of the idempotency store go through the same handle_event() as its other events, so that the request is answered as failed and nothing stays booked for it.

Evidence: dispatcher.throwing_start lets 200 starts throw under a memory limit for twenty requests: each is answered and later ones run.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -177,15 +177,17 @@
 }
 
 void dispatcher::on_intent_written(request_id primary, bool durable) {
-  coalescer_.on_intent_written(primary, durable);
+  handle_event(requests_.find(primary),
+               [&](const request_entry&) { coalescer_.on_intent_written(primary, durable); });
 }
 
 void dispatcher::on_result_recorded(request_id primary) {
-  coalescer_.on_result_recorded(primary);
+  handle_event(requests_.find(primary),
+               [&](const request_entry&) { coalescer_.on_result_recorded(primary); });
 }
 
 void dispatcher::on_result_fetched(request_id id, const fetched_result& fetched) {
-  coalescer_.on_result_fetched(id, fetched);
+  handle_event(requests_.find(id), [&](const request_entry&) { coalescer_.on_result_fetched(id, fetched); });
 }
 
 // ---- Events of the node -----------------------------------------------------------------------------------
@@ -206,7 +208,7 @@
   coalescer_.step(now);
   admission_.tick(now, gauges);
   while (const std::optional<admission_decision> next = admission_.next_decision())
-    std::visit([this](const auto& each) { apply(each); }, *next);
+    std::visit([this](const auto& each) { carry_out(each); }, *next);
 }
 
 time_point dispatcher::due() const {
@@ -223,6 +225,15 @@
   return entry != nullptr && entry->stage != request_stage::queued ? entry : nullptr;
 }
 
+template <typename Decision>
+void dispatcher::carry_out(const Decision& decision) {
+  if constexpr (requires { decision.id; }) {
+    handle_event(requests_.find(decision.id), [&](const request_entry&) { apply(decision); });
+  } else {
+    apply(decision);
+  }
+}
+
 void dispatcher::apply(const run& decision) {
   request_entry* entry = requests_.find(decision.id);
   if (entry == nullptr || entry->stage != request_stage::queued) return;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -48,8 +48,8 @@
   void on_server_up(bool cold, time_point since);
 
   // ---- Events of requests ---------------------------------------------------------------------------------
-  // If the handling of an arrival, a run's end, a rejection or an inquiry throws an exception, the exception
-  // is logged and counted, and the request is answered as failed.
+  // If the handling of an event, or of a decision on a request, throws an exception, the exception is logged
+  // and counted, and the request is answered as failed.
   request_id on_arrival(front& receiving_front, backend& target_backend, request details);
   void on_client_cancelled(request_id id);
   // A run ended. `result`: the result of a run that succeeded. Ignored for a request that was not started.
@@ -105,10 +105,12 @@
   void admit(request_entry& arrival);
   void end_run(request_entry& entry, run_end end, std::string_view result, duration elapsed);
   void reject_run(request_entry& entry, duration retry_after);
-  // Calls the handler of an event of a request. If the handler throws, the request ends with one final
-  // answer. Ignores a null entry.
+  // Calls the handler of an event of a request, or of a decision on it. If the handler throws, the request
+  // ends with one final answer. Ignores a null entry.
   template <typename Handler>
   void handle_event(request_entry* entry, Handler handler);
+  template <typename Decision>
+  void carry_out(const Decision& decision);
   // End a request whose handling threw an exception with the text `cause`: it is answered as failed, and the
   // policy and the idempotency store hold nothing for it any more.
   void abandon_arrival(request_entry& arrival, const std::string& cause);
--- a/tests/net/dispatcher_test.cpp
+++ b/tests/net/dispatcher_test.cpp
@@ -43,6 +43,7 @@
   }
   void close_idle(duration) override {}
   void run(request_id id, const request&) override {
+    if (throws_at_run) throw std::runtime_error("run");
     CHECK(runs.insert(id).second);  // at most one run for each request
   }
   void pause(request_id id) override { paused.insert(id); }
@@ -62,6 +63,7 @@
       dispatcher_under_test.step(now, {});
   }
 
+  bool throws_at_run = false;
   time_point now = 1000s;
   unsigned last_caller = 0;
   telemetry::counters counters;
@@ -295,6 +297,32 @@
   CHECK(test.dispatcher_under_test.open_requests() == 0 && test.counters.internal_errors == 100);
 }
 
+// Guards against slots and memory that stay taken because a backend threw an exception when it was to start a
+// run, or a store when its reply was handled.
+void starts_that_throw_are_answered() {
+  admission_policy::settings settings = test_settings();
+  settings.memory_kb = 200;  // for twenty requests
+  settings.classes[1].effect = admission_policy::request_effect::keyed;
+  settings.classes[1].idempotency_window = 3s;
+  fixture test(settings);
+  granting_store store(test.dispatcher_under_test);
+  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  test.throws_at_run = true;
+  std::vector<request_id> ids;
+  for (int i = 0; i < 100; ++i) {
+    ids.push_back(test.arrive(0));
+    ids.push_back(test.arrive(1, std::to_string(i)));
+    test.advance(10ms);
+  }
+  for (const request_id id : ids) CHECK(test.answers.at(id) == response_status::failed);
+  CHECK(test.dispatcher_under_test.open_requests() == 0 && test.counters.internal_errors == 200);
+  CHECK(store.abandoned.size() == 100);
+  test.throws_at_run = false;
+  const request_id unkeyed = test.arrive(0), keyed = test.arrive(1, "after");
+  test.advance(10ms);
+  CHECK(test.runs.contains(unkeyed) && test.runs.contains(keyed));
+}
+
 // After a shutdown notice every request is answered before the process is killed, and requests that arrive
 // after the grace period are rejected without a run.
 void requests_are_answered_after_a_shutdown_notice() {
@@ -324,6 +352,7 @@
       {"stores_by_class", each_class_has_its_own_store},
       {"throwing_arrival", arrivals_that_throw_are_answered},
       {"throwing_arrival_cancelled", cancelled_arrivals_that_throw_get_no_answer},
+      {"throwing_start", starts_that_throw_are_answered},
       {"throwing_run_end", run_ends_that_throw_are_answered},
       {"bounded_memory", ended_requests_leave_no_memory}};
   tests.at(argv[1])();
