End a request whose inquiry, or whose read of a stored result, throws

A backend that threw when it was asked again for the outcome of a keyed run left its primary open for ever, and took the step of the event loop, with all decisions of that moment, from all other requests. A store that threw when it was to read a result kept its claim for a request that had been answered.

Cause: duplicate_coalescer::step() sent the repeated inquiries itself, outside of dispatcher::handle_event(); and abandon_run() withdrew from store and group only what primaries hold.

Change: the dispatcher takes the inquiries that are due and sends each through handle_event(); abandon_claim() ends what group and store hold for a request of any other role, on arrival as later.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -85,6 +85,7 @@
     coalescer_.abandon_primary(*entry);
     return;
   }
+  coalescer_.abandon_claim(*entry);
   requests_.respond(*entry, {.status = response_status::failed});
   admission_.report(completed{id, run_end::lost, {}});
   requests_.remove(id);
@@ -206,6 +207,8 @@
 void dispatcher::step(time_point now, std::span<const double> gauges) {
   now_ = now;
   coalescer_.step(now);
+  while (const std::optional<request_id> primary = coalescer_.take_due_inquiry())
+    handle_event(requests_.find(*primary), [this](request_entry& entry) { coalescer_.inquire(entry); });
   admission_.tick(now, gauges);
   while (const std::optional<admission_decision> next = admission_.next_decision())
     std::visit([this](const auto& each) { carry_out(each); }, *next);
--- a/src/core/duplicate_coalescer.cpp
+++ b/src/core/duplicate_coalescer.cpp
@@ -98,9 +98,13 @@
   immediate_answers_.push_back({arrival.id, final_answer});
 }
 
+void duplicate_coalescer::abandon_claim(const request_entry& entry) {
+  if (entry.role == request_role::duplicate) remove_from_group(entry);
+  if (handles(entry.details)) store_of(entry).abandon(entry.id);
+}
+
 void duplicate_coalescer::abandon_arrival(request_entry& arrival) {
-  if (arrival.role == request_role::duplicate) remove_from_group(arrival);
-  if (handles(arrival.details)) store_of(arrival).abandon(arrival.id);
+  abandon_claim(arrival);
   arrival.role = request_role::independent;
   arrival.group.reset();
   respond_at_next_step(arrival, answer_run_failed);
@@ -353,7 +357,6 @@
   now_ = now;
   send_immediate_answers();
   answer_overdue_recordings();
-  retry_inquiries();
 }
 
 time_point duplicate_coalescer::due() const {
@@ -386,12 +389,9 @@
   }
 }
 
-void duplicate_coalescer::retry_inquiries() {
-  while (!inquiry_retries_.empty() && inquiry_retries_.begin()->first <= now_) {
-    request_entry* primary = requests_.find(inquiry_retries_.begin()->second);
-    inquiry_retries_.erase(inquiry_retries_.begin());
-    if (primary != nullptr) inquire(*primary);
-  }
+std::optional<request_id> duplicate_coalescer::take_due_inquiry() {
+  if (inquiry_retries_.empty() || inquiry_retries_.begin()->first > now_) return std::nullopt;
+  return inquiry_retries_.extract(inquiry_retries_.begin()).value().second;
 }
 
 }  // namespace marblewharf
--- a/src/core/duplicate_coalescer.hpp
+++ b/src/core/duplicate_coalescer.hpp
@@ -9,6 +9,7 @@
 // Not synchronized: owned by the dispatcher's thread.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -49,6 +50,9 @@
   // The handling of an arrival failed with an exception: ends what is held for the request and answers it as
   // failed at the next step. Also for requests without a key.
   void abandon_arrival(request_entry& arrival);
+  // The handling of a later event of a request that is not a primary failed: ends what its group and its
+  // store hold for it, if anything.
+  void abandon_claim(const request_entry& entry);
   // The handling of a later event of a primary failed: answers its group and removes it.
   void abandon_primary(request_entry& primary);
 
@@ -67,8 +71,12 @@
   void on_result_recorded(request_id primary_id);
   void on_result_fetched(request_id id, const fetched_result& fetched);
 
-  // Sends the answers and inquiries that are due.
+  // Sends the answers that are due.
   void step(time_point now);
+  // Removes and returns the next primary for which an inquiry is due, if any. The primary may have ended.
+  std::optional<request_id> take_due_inquiry();
+  // Asks the backend for the outcome of a primary's run.
+  void inquire(request_entry& primary);
   // When step() has to be called next; time_point::min(): at once; time_point::max(): no answer or inquiry is
   // scheduled.
   time_point due() const;
@@ -100,13 +108,11 @@
   void cancel_primary(request_entry& primary);
   void write_intent(request_entry& primary);
   void record_result(request_entry& primary, bool succeeded, std::string_view result);
-  void inquire(request_entry& primary);
   void respond_to_all(request_entry& primary, const answer& final_answer, run_end reported_end);
   void close_group(request_entry& primary, const answer& final_answer, run_end reported_end);
   void remove_primary(request_entry& primary, run_end reported_end);
   void send_immediate_answers();
   void answer_overdue_recordings();
-  void retry_inquiries();
 
   request_table& requests_;
   admission& admission_;
--- a/tests/net/dispatcher_test.cpp
+++ b/tests/net/dispatcher_test.cpp
@@ -48,6 +48,11 @@
   }
   void pause(request_id id) override { paused.insert(id); }
   void resume(request_id) override {}
+  bool inquire(request_id id, const request&) override {
+    if (throws_at_inquiry) throw std::runtime_error("inquiry");
+    inquiries.insert(id);
+    return true;
+  }
 
   request_id arrive(unsigned request_class = 0, const std::string& key = {}) {
     request details;
@@ -63,13 +68,13 @@
       dispatcher_under_test.step(now, {});
   }
 
-  bool throws_at_run = false;
+  bool throws_at_run = false, throws_at_inquiry = false;
   time_point now = 1000s;
   unsigned last_caller = 0;
   telemetry::counters counters;
   std::map<request_id, response_status> answers;
   std::map<request_id, duration> retry_after;
-  std::set<request_id> runs, paused;
+  std::set<request_id> runs, paused, inquiries;
   dispatcher dispatcher_under_test;
 };
 
@@ -113,6 +118,24 @@
   std::map<std::string, request_id> primaries;
 };
 
+// A store that knows no outcome, and asks for it again 100 ms after each reply that does not tell it.
+struct inquiring_store : granting_store {
+  using granting_store::granting_store;
+  claim_result claim(request_id id, const request&) override {
+    return {.status = claim_status::inquiry_primary, .primary = id};
+  }
+  duration schedule_inquiry_retry(request_id) override { return 100ms; }
+};
+
+// A store that has the result of each key, and throws an exception when it is to read it.
+struct unreadable_store : granting_store {
+  using granting_store::granting_store;
+  claim_result claim(request_id id, const request&) override {
+    return {.status = claim_status::completed, .primary = id};
+  }
+  void fetch_result(request_id) override { throw std::runtime_error("fetch"); }
+};
+
 admission_policy::settings test_settings(unsigned cores = 2) {
   admission_policy::settings settings;
   settings.cores = cores;
@@ -129,6 +152,14 @@
   return settings;
 }
 
+// The settings of test_settings() with keyed writes.
+admission_policy::settings keyed_settings() {
+  admission_policy::settings settings = test_settings();
+  settings.classes[1].effect = admission_policy::request_effect::keyed;
+  settings.classes[1].idempotency_window = 3s;
+  return settings;
+}
+
 // A run end that is premature, repeated or of an unknown request, and a cancellation after the answer, have
 // no effect.
 void each_request_gets_one_answer() {
@@ -277,10 +308,7 @@
 
 // Guards against a group that is never answered because the end of its run threw an exception.
 void run_ends_that_throw_are_answered() {
-  admission_policy::settings settings = test_settings();
-  settings.classes[1].effect = admission_policy::request_effect::keyed;
-  settings.classes[1].idempotency_window = 3s;
-  fixture test(settings);
+  fixture test(keyed_settings());
   throwing_store store(test.dispatcher_under_test);
   test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
   for (int i = 0; i < 100;
@@ -297,13 +325,43 @@
   CHECK(test.dispatcher_under_test.open_requests() == 0 && test.counters.internal_errors == 100);
 }
 
+// Guards against a primary that stays open for ever, and a step that is lost to all other requests, because
+// the backend threw an exception when it was asked again for an outcome.
+void inquiries_that_throw_are_answered() {
+  fixture test(keyed_settings());
+  inquiring_store store(test.dispatcher_under_test);
+  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  const request_id id = test.arrive(1, "a");
+  test.advance(10ms);
+  CHECK(test.inquiries.contains(id) && test.answers.empty());
+  test.dispatcher_under_test.on_inquiry_reply(id, inquiry_outcome::unknown, {});
+  test.throws_at_inquiry = true;
+  test.advance(90ms);
+  CHECK(test.answers.empty());
+  const request_id unkeyed = test.arrive(0);
+  test.advance(50ms);
+  CHECK(test.answers.at(id) == response_status::failed && store.abandoned.contains(id));
+  CHECK(test.runs.contains(unkeyed) && test.dispatcher_under_test.open_requests() == 1);
+  CHECK(test.counters.internal_errors == 1);
+}
+
+// Guards against a claim that the store keeps for a request that was answered, because reading its stored
+// result threw an exception.
+void fetches_that_throw_are_answered() {
+  fixture test(keyed_settings());
+  unreadable_store store(test.dispatcher_under_test);
+  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  const request_id id = test.arrive(1, "a");
+  test.advance(10ms);
+  CHECK(test.answers.at(id) == response_status::failed && store.abandoned.contains(id));
+  CHECK(test.dispatcher_under_test.open_requests() == 0 && test.counters.internal_errors == 1);
+}
+
 // Guards against slots and memory that stay taken because a backend threw an exception when it was to start a
 // run, or a store when its reply was handled.
 void starts_that_throw_are_answered() {
-  admission_policy::settings settings = test_settings();
+  admission_policy::settings settings = keyed_settings();
   settings.memory_kb = 200;  // for twenty requests
-  settings.classes[1].effect = admission_policy::request_effect::keyed;
-  settings.classes[1].idempotency_window = 3s;
   fixture test(settings);
   granting_store store(test.dispatcher_under_test);
   test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
@@ -354,6 +412,8 @@
       {"throwing_arrival_cancelled", cancelled_arrivals_that_throw_get_no_answer},
       {"throwing_start", starts_that_throw_are_answered},
       {"throwing_run_end", run_ends_that_throw_are_answered},
+      {"throwing_inquiry", inquiries_that_throw_are_answered},
+      {"throwing_fetch", fetches_that_throw_are_answered},
       {"bounded_memory", ended_requests_leave_no_memory}};
   tests.at(argv[1])();
   return 0;
