End a run that waits for its call once the policy has closed its request

Cause: the policy counts on the end of such a run, which is off the core, and sends no reply to its call. The dispatcher answered the request and told the backend nothing; fan_out/client kept the run. With `drop` or `pause` a stop decision ended it by the way.

Change: the dispatcher notes which runs wait for their calls and which requests the policy has closed; a run of which both hold is ended by its backend (end_waiting_run()) as never started, which frees its memory and a key.

--- a/src/core/backend.hpp
+++ b/src/core/backend.hpp
@@ -38,6 +38,9 @@
   virtual void place_call(request_id, duration /*limit*/) {}
   // Reply to dispatcher::on_dependency_call_needed(): the run continues without its dependency call.
   virtual void skip_call(request_id) {}
+  // The run waits for a reply to dispatcher::on_dependency_call_needed() that will not come, because its
+  // request needs no answer any more. Ends the run, which has had no effect, with run_end::never_started.
+  virtual void end_waiting_run(request_id) {}
 };
 
 }  // namespace marblewharf
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -107,7 +107,23 @@
   }
   admission_.report(cancelled{id});
   entry->answered = true;
-  if (entry->stage == request_stage::queued) requests_.remove(id);
+  if (entry->stage == request_stage::queued) {
+    requests_.remove(id);
+  } else {
+    on_closed_by_policy(id);
+  }
+}
+
+void dispatcher::on_closed_by_policy(request_id id) {
+  request_entry* entry = requests_.find(id);
+  if (entry == nullptr) return;
+  entry->closed_by_policy = true;
+  end_waiting_run(*entry);
+}
+
+void dispatcher::end_waiting_run(request_entry& entry) {
+  if (entry.closed_by_policy && std::exchange(entry.awaits_call, false))
+    entry.target_backend.end_waiting_run(entry.id);
 }
 
 template <typename Handler>
@@ -166,7 +182,11 @@
 }
 
 void dispatcher::on_dependency_call_needed(request_id id) {
-  if (find_started(id) != nullptr) admission_.report(call_needed{id});
+  request_entry* entry = find_started(id);
+  if (entry == nullptr) return;
+  admission_.report(call_needed{id});
+  entry->awaits_call = true;
+  end_waiting_run(*entry);
 }
 
 void dispatcher::on_dependency_call_ended(request_id id, duration elapsed) {
@@ -267,14 +287,16 @@
 
 void dispatcher::apply(const place_call& decision) {
   request_entry* entry = requests_.find(decision.id);
-  if (entry != nullptr && entry->stage == request_stage::started)
-    entry->target_backend.place_call(decision.id, decision.limit);
+  if (entry == nullptr || entry->stage != request_stage::started) return;
+  entry->awaits_call = false;
+  entry->target_backend.place_call(decision.id, decision.limit);
 }
 
 void dispatcher::apply(const skip_call& decision) {
   request_entry* entry = requests_.find(decision.id);
-  if (entry != nullptr && entry->stage == request_stage::started)
-    entry->target_backend.skip_call(decision.id);
+  if (entry == nullptr || entry->stage != request_stage::started) return;
+  entry->awaits_call = false;
+  entry->target_backend.skip_call(decision.id);
 }
 
 void dispatcher::apply(const reject& decision) {
@@ -282,6 +304,7 @@
   if (entry == nullptr) return;
   if (entry->stage != request_stage::queued) {  // `rejected` would assert that the request never ran
     requests_.respond(*entry, {.status = response_status::failed});
+    on_closed_by_policy(decision.id);
     return;
   }
   const answer final_answer{.status = response_status::rejected,
@@ -305,14 +328,15 @@
                             .retry_after = decision.retry_after,
                             .deadline_exceeded = !aborted,
                             .outcome_unknown = entry->role == request_role::stored_result_reader};
+  const bool still_running = entry->stage == request_stage::started;
   if (entry->role == request_role::primary) {
     coalescer_.fail_primary(*entry, final_answer);
-    return;
+  } else {
+    requests_.respond(*entry, final_answer);
+    if (entry->role == request_role::duplicate) coalescer_.remove_from_group(*entry);
+    if (!still_running) requests_.remove(decision.id);
   }
-  const bool still_running = entry->stage == request_stage::started;
-  requests_.respond(*entry, final_answer);
-  if (entry->role == request_role::duplicate) coalescer_.remove_from_group(*entry);
-  if (!still_running) requests_.remove(decision.id);
+  if (still_running) on_closed_by_policy(decision.id);
 }
 
 void dispatcher::apply(const share_result& decision) {
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -116,6 +116,11 @@
   void abandon_arrival(request_entry& arrival, const std::string& cause);
   void abandon_run(request_id id, const std::string& cause);
   void report_internal_error(const char* during, const std::string& cause);
+  // Ends a run that waits for a dependency call, if the policy has closed its request. The policy books
+  // memory for the run until its end is reported.
+  void end_waiting_run(request_entry& entry);
+  // The policy has closed a started request, because it was answered or cancelled.
+  void on_closed_by_policy(request_id id);
 
   void apply(const run& decision);
   void apply(const pause& decision);
--- a/src/core/request_table.hpp
+++ b/src/core/request_table.hpp
@@ -50,7 +50,9 @@
   front& receiving_front;
   backend& target_backend;
   request_stage stage = request_stage::queued;
-  bool answered = false;  // the answer was sent, or the client cancelled: no further answer is sent
+  bool answered = false;          // the answer was sent, or the client cancelled: no further answer is sent
+  bool closed_by_policy = false;  // the policy knows that no answer is wanted: it places no call for the run
+  bool awaits_call = false;       // the run waits for its dependency call
   request_role role = request_role::independent;
   std::unique_ptr<coalesced_group> group;  // set for a primary
   request_id primary_id = 0;               // set for a duplicate
--- a/src/fan_out/client.cpp
+++ b/src/fan_out/client.cpp
@@ -130,6 +130,15 @@
   dispatcher_.on_run_ended(id, run_end::aborted, {}, elapsed);
 }
 
+void client::end_waiting_run(request_id id) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end() || found->second.fan_out_begun) return;
+  const duration elapsed = net::steady_now() - found->second.begun_at;
+  runs_.erase(found);
+  reactor_.wake();
+  dispatcher_.on_run_ended(id, run_end::never_started, {}, elapsed);
+}
+
 void client::resume(request_id id) {
   if (!runs_.contains(id)) next_backend_.resume(id);
 }
--- a/src/fan_out/client.hpp
+++ b/src/fan_out/client.hpp
@@ -43,6 +43,7 @@
   }
   void place_call(request_id id, duration limit) override;
   void skip_call(request_id id) override;
+  void end_waiting_run(request_id id) override;
 
   // Runs the timers that are due. Returns the time at which it must be called again.
   time_point step(time_point now);
--- a/src/transaction/coordinator.hpp
+++ b/src/transaction/coordinator.hpp
@@ -60,6 +60,7 @@
   bool inquire(request_id id, const request& client_request) override;
   void place_call(request_id id, duration limit) override { fan_out_.place_call(id, limit); }
   void skip_call(request_id id) override { fan_out_.skip_call(id); }
+  void end_waiting_run(request_id id) override { fan_out_.end_waiting_run(id); }
 
   // Processes disk results and runs the timers that are due. Returns the time at which it must be called
   // again.
--- a/tests/net/dispatcher_test.cpp
+++ b/tests/net/dispatcher_test.cpp
@@ -45,6 +45,13 @@
   void run(request_id id, const request&) override {
     if (throws_at_run) throw std::runtime_error("run");
     CHECK(runs.insert(id).second);  // at most one run for each request
+    if (needs_calls) dispatcher_under_test.on_dependency_call_needed(id);
+  }
+  void place_call(request_id id, duration) override { calls.insert(id); }
+  void skip_call(request_id id) override { calls.insert(id); }
+  void end_waiting_run(request_id id) override {
+    CHECK(!calls.contains(id));
+    dispatcher_under_test.on_run_ended(id, run_end::never_started, {}, 0s);
   }
   void pause(request_id id) override { paused.insert(id); }
   void resume(request_id) override {}
@@ -54,6 +61,10 @@
     return true;
   }
 
+  // Stores the results of the class "write", but not those of the class "read".
+  void store_writes_in(idempotency_store& store) {
+    dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  }
   request_id arrive(unsigned request_class = 0, const std::string& key = {}) {
     request details;
     details.key = key;
@@ -69,12 +80,13 @@
   }
 
   bool throws_at_run = false, throws_at_inquiry = false;
+  bool needs_calls = false;  // each run waits for a dependency call
   time_point now = 1000s;
   unsigned last_caller = 0;
   telemetry::counters counters;
   std::map<request_id, response_status> answers;
   std::map<request_id, duration> retry_after;
-  std::set<request_id> runs, paused, inquiries;
+  std::set<request_id> runs, paused, inquiries, calls;
   dispatcher dispatcher_under_test;
 };
 
@@ -273,7 +285,7 @@
   settings.memory_kb = 200;  // for twenty requests
   fixture test(settings);
   throwing_store store(test.dispatcher_under_test);
-  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  test.store_writes_in(store);
   std::vector<request_id> ids;
   for (int i = 0; i < 100; ++i) {
     store.throws_at_claim = true;
@@ -310,7 +322,7 @@
 void run_ends_that_throw_are_answered() {
   fixture test(keyed_settings());
   throwing_store store(test.dispatcher_under_test);
-  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  test.store_writes_in(store);
   for (int i = 0; i < 100;
        ++i) {  // more than the cores can run, so that the slots of the runs are free again
     const std::string key = std::to_string(i);
@@ -330,7 +342,7 @@
 void inquiries_that_throw_are_answered() {
   fixture test(keyed_settings());
   inquiring_store store(test.dispatcher_under_test);
-  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  test.store_writes_in(store);
   const request_id id = test.arrive(1, "a");
   test.advance(10ms);
   CHECK(test.inquiries.contains(id) && test.answers.empty());
@@ -350,13 +362,92 @@
 void fetches_that_throw_are_answered() {
   fixture test(keyed_settings());
   unreadable_store store(test.dispatcher_under_test);
-  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  test.store_writes_in(store);
   const request_id id = test.arrive(1, "a");
   test.advance(10ms);
   CHECK(test.answers.at(id) == response_status::failed && store.abandoned.contains(id));
   CHECK(test.dispatcher_under_test.open_requests() == 0 && test.counters.internal_errors == 1);
 }
 
+// Settings in which a run cannot be stopped, and few dependency calls are permitted at a time.
+admission_policy::settings call_settings() {
+  admission_policy::settings settings = test_settings(8);
+  settings.halt = admission_policy::halt_mode::none;
+  settings.fair_concurrent_calls = 6;
+  settings.calls_period = 5s;
+  settings.classes[0].calls_dependency = true;
+  return settings;
+}
+
+// Ends all calls and their runs.
+void end_calls(fixture& test) {
+  for (const request_id id : std::exchange(test.calls, {})) {
+    test.dispatcher_under_test.on_dependency_call_ended(id, 10ms);
+    test.dispatcher_under_test.on_run_ended(id, run_end::succeeded, "x", 10ms);
+  }
+  test.advance(10ms);
+}
+
+// Guards against runs whose callers have left while the runs waited for their calls: nothing ended them, and
+// their memory stayed booked (review/8).
+void left_runs_end_without_their_calls() {
+  fixture test(call_settings());
+  test.needs_calls = true;
+  for (int round = 0; round < 20; ++round) {
+    test.runs.clear();
+    std::vector<request_id> ids;
+    for (int i = 0; i < 20; ++i) ids.push_back(test.arrive(0));
+    test.advance(10ms);
+    CHECK(test.runs.size() > test.calls.size());  // some runs wait for their calls
+    for (const request_id id : ids) test.dispatcher_under_test.on_client_cancelled(id);
+    end_calls(test);
+    CHECK(test.dispatcher_under_test.open_requests() == 0);
+  }
+}
+
+// Guards against runs that nothing ended after the policy had given them up while they waited for their calls
+// (review/8).
+void given_up_runs_end_without_their_calls() {
+  fixture test(call_settings());
+  test.needs_calls = true;
+  std::size_t given_up = 0;
+  for (int round = 0; round < 20; ++round) {
+    test.runs.clear();
+    for (int i = 0; i < 20; ++i) test.arrive(0);
+    test.advance(5s);  // longer than the deadline
+    for (const request_id id : test.runs) given_up += test.calls.contains(id) ? 0 : 1;
+    end_calls(test);
+    CHECK(test.dispatcher_under_test.open_requests() == 0);
+  }
+  CHECK(given_up > 0);
+}
+
+// Guards against a keyed run that waits for a call for its duplicates, although the policy has closed it and
+// places no call.
+void given_up_keyed_runs_end_without_their_calls() {
+  admission_policy::settings settings = call_settings();
+  settings.classes[1] = keyed_settings().classes[1];
+  settings.classes[1].calls_dependency = true;
+  fixture test(settings);
+  test.needs_calls = true;
+  granting_store store(test.dispatcher_under_test);
+  test.store_writes_in(store);
+  std::size_t given_up = 0;
+  for (int round = 0; round < 20; ++round) {
+    test.runs.clear();
+    for (int i = 0; i < 20; ++i) test.arrive(1, std::to_string(round) + "." + std::to_string(i));
+    test.advance(5s);  // longer than the deadline
+    for (const request_id id : test.runs) {
+      if (test.calls.contains(id)) continue;
+      ++given_up;
+      CHECK(store.released.contains(id) && test.answers.contains(id));
+    }
+    end_calls(test);
+    CHECK(test.dispatcher_under_test.open_requests() == 0);
+  }
+  CHECK(given_up > 0);
+}
+
 // Guards against slots and memory that stay taken because a backend threw an exception when it was to start a
 // run, or a store when its reply was handled.
 void starts_that_throw_are_answered() {
@@ -364,7 +455,7 @@
   settings.memory_kb = 200;  // for twenty requests
   fixture test(settings);
   granting_store store(test.dispatcher_under_test);
-  test.dispatcher_under_test.enable_idempotency(store, 0s, std::vector<std::chrono::nanoseconds>{0s, 1h});
+  test.store_writes_in(store);
   test.throws_at_run = true;
   std::vector<request_id> ids;
   for (int i = 0; i < 100; ++i) {
@@ -414,6 +505,9 @@
       {"throwing_run_end", run_ends_that_throw_are_answered},
       {"throwing_inquiry", inquiries_that_throw_are_answered},
       {"throwing_fetch", fetches_that_throw_are_answered},
+      {"left_calls", left_runs_end_without_their_calls},
+      {"given_up_calls", given_up_runs_end_without_their_calls},
+      {"given_up_keyed_calls", given_up_keyed_runs_end_without_their_calls},
       {"bounded_memory", ended_requests_leave_no_memory}};
   tests.at(argv[1])();
   return 0;
