--- a/src/fan_out/client.cpp
+++ b/src/fan_out/client.cpp
@@ -8,6 +8,7 @@
 
 #include "core/tenant_name.hpp"
 #include "fan_out/response_assembly.hpp"
+#include "outcome/effect.hpp"
 #include "upstream/response_deadline.hpp"
 #include "uwsgi/packet.hpp"
 
@@ -136,7 +137,8 @@
   const duration elapsed = net::steady_now() - found->second.begun_at;
   runs_.erase(found);
   reactor_.wake();
-  dispatcher_.on_run_ended(id, run_end::never_started, {}, elapsed);
+  const outcome::effect effect_of_calls;  // no call was sent
+  dispatcher_.on_run_ended(id, effect_of_calls.conclusion(), {}, elapsed);
 }
 
 void client::resume(request_id id) {
