--- a/tests/net/dispatcher_test.cpp
+++ b/tests/net/dispatcher_test.cpp
@@ -422,7 +422,7 @@
   CHECK(given_up > 0);
 }
 
-// Guards against a keyed run that waits for a call for its duplicates, although the policy has closed it and
+// Guards against a keyed run that waits for a call and keeps its key, although the policy has closed it and
 // places no call.
 void given_up_keyed_runs_end_without_their_calls() {
   admission_policy::settings settings = call_settings();
